--- /dev/null
+++ b/ladderfield/__main__.py
@@ -0,0 +1,5 @@
+"""``python3 -m ladderfield``."""
+
+from ladderfield.cli import main
+
+main(prog_name="ladderfield")
--- /dev/null
+++ b/ladderfield/foreman/actor.py
@@ -0,0 +1,412 @@
+"""The foreman as an actor: one inbox, one loop that alone touches the tables, helpers that do the I/O.
+
+Helpers (writer, couriers, the cloud's errands) get copies of what they need and answer by message. The inbox is
+bounded: who can't get in (a report) is told so at once, and who must get in (the view) is held back.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+
+import trio
+
+from ladderfield.fleet.cloud import DELETE_MOST, RENT_MOST, Cloud, CloudTrouble, Listed, NoCapacity
+from ladderfield.fleet.plan import Offer, Planner, Rental
+from ladderfield.foreman.desk import Desk
+from ladderfield.foreman.ledger import Ledger, Txn
+from ladderfield.http import Client, NoAnswer
+from ladderfield.jobs.model import TYPES
+from ladderfield.leadership import EPOCH, Term, grace_s
+from ladderfield.settings import Settings, address
+from ladderfield.state import Change, Outcome, StateClient, Unavailable, View
+from ladderfield.workers.machine import Machine
+from ladderfield.workers.report import Report, parse_report
+
+log = logging.getLogger(__name__)
+
+INBOX = 64
+COURIERS = 16  # pushes at once
+TICK = 1 / 6  # of report_s
+BATCH = 1 / 3  # of report_s: how long finished tasks may wait to be recorded together
+PUSH_S = 1.0  # of report_s: how long a push waits for its answer
+LIST_EVERY = 1.0  # of list_lag_s: a list is no fresher than that
+PLAN_EVERY = 1 / 3  # of report_s
+TYPES_EVERY = 20.0  # of report_s: prices move
+
+
+class Reported:
+    """A worker's report; ``done`` is set when it is answered or refused."""
+
+    __slots__ = ("answer", "done", "report")
+
+    def __init__(self, report: Report) -> None:
+        self.report, self.done = report, trio.Event()
+        self.answer: dict[str, Any] | None = None
+
+
+class Changed:
+    """Keys changed in the state service."""
+
+    __slots__ = ("changes",)
+
+    def __init__(self, changes: list[Change]) -> None:
+        self.changes = changes
+
+
+class Committed:
+    """Our transaction was answered; ``stamps`` has what is on record where guards failed."""
+
+    __slots__ = ("outcome", "stamps", "txn")
+
+    def __init__(self, txn: Txn, outcome: Outcome, stamps: dict[str, int]) -> None:
+        self.txn, self.outcome, self.stamps = txn, outcome, stamps
+
+
+class Pushed:
+    """A courier is back: with the machine's report, or (None) without an answer."""
+
+    __slots__ = ("attempts", "executed", "host", "report")
+
+    def __init__(self, host: str, attempts: list[int], executed: bool, report: Report | None) -> None:
+        self.host, self.attempts, self.executed, self.report = host, attempts, executed, report
+
+
+class Seen:
+    """The cloud's list."""
+
+    __slots__ = ("hosts",)
+
+    def __init__(self, hosts: list[Listed]) -> None:
+        self.hosts = hosts
+
+
+class Rented:
+    """A rental's end: the hosts, or none."""
+
+    __slots__ = ("hosts", "offer", "refused")
+
+    def __init__(self, offer: Offer, hosts: list[str], refused: bool) -> None:
+        self.offer, self.hosts, self.refused = offer, hosts, refused
+
+
+class Deleted:
+    """A deletion was answered with 200 (``sure``), or not."""
+
+    __slots__ = ("hosts", "sure")
+
+    def __init__(self, hosts: list[str], sure: bool) -> None:
+        self.hosts, self.sure = hosts, sure
+
+
+class Tick:
+    """Time passes."""
+
+
+class Foreman:
+    """One term in office."""
+
+    def __init__(self, settings: Settings, term: Term, client: StateClient, view: View, cloud: Cloud) -> None:
+        self.settings, self.term, self.client, self.view, self.cloud = settings, term, client, view, cloud
+        workers = settings.cluster.workers
+        self.report_s = workers.report_s
+        self.grace = grace_s(settings)
+        self.send, self.inbox = trio.open_memory_channel[Any](INBOX)
+        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace)
+        self.desk.push = lambda machine: self._to_push.add(machine.host)
+        self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
+        self.planner = Planner(self.desk)
+        self._to_push: set[str] = set()
+        self._pushing: set[str] = set()
+        self._writing = False
+        self._recorded_at = self._planned_at = -1e9
+        self._renting: dict[Offer, int] = {}
+        self._hires = 0
+        self._deleting: set[str] = set()
+        self._clients: dict[str, Client] = {}
+        self._txns, self._txn_inbox = trio.open_memory_channel[Txn](1)
+
+    async def run(self, announce: Any) -> None:
+        """Take over, announce the inbox, and serve until the term is over."""
+        await self.view.reach(self.term.stamp)
+        async with self.view.subscribe() as changes:
+            self.desk.load(dict(self.view.data), trio.current_time())
+            log.info(
+                "epoch %d: took over %d jobs, %d machines with claims",
+                self.term.epoch, len(self.desk.jobs), len(self.desk.machines),
+            )
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                nursery.start_soon(self._feed, changes)
+                nursery.start_soon(self._writer)
+                nursery.start_soon(self._timer)
+                nursery.start_soon(self._lister)
+                nursery.start_soon(self._typer)
+                nursery.start_soon(self._loop)
+                announce(self.send)
+                await self.term.over.wait()
+                announce(None)
+                nursery.cancel_scope.cancel()
+        while True:
+            try:
+                message = self.inbox.receive_nowait()
+            except trio.WouldBlock:
+                break
+            if isinstance(message, Reported):
+                message.done.set()
+
+    async def _loop(self) -> None:
+        handlers = {
+            Reported: self._on_report, Changed: self._on_changed, Committed: self._on_committed,
+            Pushed: self._on_pushed, Seen: self._on_seen, Rented: self._on_rented, Deleted: self._on_deleted,
+            Tick: self._on_tick,
+        }
+        while True:
+            message = await self.inbox.receive()
+            for _ in range(INBOX):  # what has gathered shares one pass of scheduling
+                handlers[type(message)](message, trio.current_time())
+                try:
+                    message = self.inbox.receive_nowait()
+                except trio.WouldBlock:
+                    break
+            else:
+                handlers[type(message)](message, trio.current_time())
+            self._advance(trio.current_time())
+
+    def _advance(self, now: float) -> None:
+        """After the messages: schedule, record, push, and plan."""
+        starting = self.term.may_start(now)
+        if starting and self.desk.changed:
+            self.desk.schedule(now)
+        if not self._writing:
+            batch = now - self._recorded_at >= BATCH * self.report_s
+            txn = self.ledger.collect(batch)
+            if txn is not None:
+                if batch:
+                    self._recorded_at = now
+                self._writing = True
+                self._txns.send_nowait(txn)
+        for host in list(self._to_push):
+            if host in self._pushing:
+                continue
+            if len(self._pushing) >= COURIERS:
+                break
+            self._to_push.discard(host)
+            machine = self.desk.machines.get(host)
+            if machine is None or not machine.endpoint:
+                continue
+            orders = self.desk.sessions.orders(machine, now, None) if machine.epoch == self.term.epoch else []
+            if orders or machine.epoch != self.term.epoch:
+                self._pushing.add(host)
+                self.nursery.start_soon(self._courier, machine, orders)
+
+    # -- messages ----------------------------------------------------------------------------------------------
+
+    def _on_report(self, message: Reported, now: float) -> None:
+        report = message.report
+        if report.epoch > self.term.epoch:
+            self.term.end(f"machine {report.host} has seen epoch {report.epoch}")
+        alive = now < self.term.renewed_at + self.term.ttl + self.grace
+        if self.term.over.is_set() or not alive:
+            message.done.set()
+            return
+        machine = self.desk.sessions.report(report, now, answering=True)
+        orders: list[dict[str, Any]] = []
+        if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
+            if self.desk.changed and self.term.may_start(now):
+                self.desk.schedule(now)
+            orders = self.desk.sessions.orders(machine, now, report.tick)
+        message.answer = {"epoch": self.term.epoch, "orders": orders}
+        message.done.set()
+
+    def _on_changed(self, message: Changed, now: float) -> None:
+        for change in message.changes:
+            if change.key == EPOCH and change.value and change.value["epoch"] > self.term.epoch:
+                self.term.end(f"epoch {change.value['epoch']} is on record")
+        self.desk.take_changes(message.changes, now)
+
+    def _on_committed(self, message: Committed, now: float) -> None:
+        self._writing = False
+        if message.outcome.failed is None:
+            self.ledger.applied(message.txn, message.outcome.ledger)
+        elif EPOCH in message.outcome.failed:
+            self.term.end("another epoch is on record")
+        else:
+            self.ledger.restamp(message.txn, message.stamps)
+
+    def _on_pushed(self, message: Pushed, now: float) -> None:
+        self._pushing.discard(message.host)
+        machine = self.desk.machines.get(message.host)
+        if machine is None or message.report is None or message.report.host != message.host:
+            return
+        if message.report.epoch > self.term.epoch:
+            self.term.end(f"machine {message.host} has seen epoch {message.report.epoch}")
+            return
+        if message.report.tenure >= machine.tenure:
+            self.desk.sessions.answered(machine, message.attempts, message.executed)
+        self.desk.sessions.report(message.report, now, answering=False)
+        if not message.executed or machine.epoch != self.term.epoch:
+            self._to_push.add(message.host)
+
+    def _on_seen(self, message: Seen, now: float) -> None:
+        for one in message.hosts:
+            fresh = one.host not in self.desk.machines
+            machine = self.desk.sessions.machine(one.host, one.endpoint or "", one.type, one.zone, one.spot, now)
+            if machine is None:
+                continue
+            machine.listed = one.phase
+            if fresh:
+                machine.born_at = now - one.held_s
+                log.info("machine %s: found in the list, %s", one.host, one.phase)
+            if machine.endpoint and one.phase == "running" and machine.epoch != self.term.epoch:
+                self._to_push.add(one.host)  # raise the epoch there
+
+    def _on_rented(self, message: Rented, now: float) -> None:
+        self._renting.pop(message.offer, None)
+        if message.refused:
+            self.planner.refuse(message.offer, now)
+        kind, zone, spot = message.offer
+        for host in message.hosts:
+            self.desk.sessions.machine(host, "", kind, zone, spot, now)
+
+    def _on_deleted(self, message: Deleted, now: float) -> None:
+        self._deleting.difference_update(message.hosts)
+        if message.sure:
+            for host in message.hosts:
+                self.desk.forget(host, now)
+                self._clients.pop(host, None)
+
+    def _on_tick(self, message: Tick, now: float) -> None:
+        doomed = self.desk.sweep(now)
+        for machine in self.desk.machines.values():
+            if machine.claims and machine.epoch == self.term.epoch and self._restless(machine, now):
+                self._to_push.add(machine.host)
+        if self.term.may_start(now):
+            self.desk.preempt(now)
+            if now - self._planned_at >= PLAN_EVERY * self.report_s:
+                self._planned_at = now
+                for machine in self.planner.returns(now):
+                    log.info("machine %s: idle, returned", machine.host)
+                    machine.deleting = True
+                    self.desk.queues.withdraw(machine)
+                    doomed.append(machine.host)
+                if not self._renting:
+                    for rental in self.planner.rentals(now):
+                        self._rent(rental)
+        due = [host for host in doomed if host not in self._deleting][:DELETE_MOST]
+        if due and self.term.may_start(now):
+            self._deleting.update(due)
+            self.nursery.start_soon(self._delete, due)
+
+    def _restless(self, machine: Machine, now: float) -> bool:
+        """Whether something waits to be told, and pushing may help."""
+        return any(
+            claim.stopping is not None and claim.stop_at == 0
+            for claim in machine.claims.values()
+        )
+
+    def _rent(self, rental: Rental) -> None:
+        self._hires += 1
+        # No other foreman has this epoch, so no other hire can ever have this name; the epoch's record came first.
+        name = f"lf-{self.term.epoch}-{self._hires}"
+        self._renting[rental.offer] = rental.count
+        self.nursery.start_soon(self._renter, name, rental)
+
+    # -- helpers -----------------------------------------------------------------------------------------------
+
+    async def _feed(self, changes: trio.MemoryReceiveChannel[list[Change]]) -> None:
+        async for batch in changes:
+            await self.send.send(Changed(batch))
+
+    async def _timer(self) -> None:
+        while True:
+            await trio.sleep(TICK * self.report_s)
+            await self.send.send(Tick())
+
+    async def _writer(self) -> None:
+        pause = self.report_s / 10
+        async for txn in self._txn_inbox:
+            while True:
+                await self.client.foreman_writes.take(txn.ops)
+                try:
+                    outcome = await self.client.commit(txn.guards, txn.puts, txn.deletes, self.report_s)
+                    stamps: dict[str, int] = {}
+                    for key in outcome.failed or []:
+                        if key != EPOCH:
+                            stamps[key] = await self.client.stamp(key, self.report_s)
+                    break
+                except Unavailable as error:
+                    log.debug("epoch %d: a write waits: %s", self.term.epoch, error)
+                    await trio.sleep(pause)
+            await self.send.send(Committed(txn, outcome, stamps))
+
+    async def _courier(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+        host, tenure = machine.host, max(machine.tenure, 1)
+        attempts = [order["try"] for order in orders if order["verb"] == "launch"]
+        executed, report = False, None
+        try:
+            client = self._clients.get(host)
+            if client is None:
+                client = self._clients[host] = Client(*address(machine.endpoint), keep=1)
+            body = {"epoch": self.term.epoch, "tenure": tenure, "orders": orders}
+            status, data = await client.call("POST", "/orders", body, PUSH_S * self.report_s)
+            executed = status == 200
+            if status in (200, 409):
+                report = parse_report(data)
+        except (NoAnswer, ValueError) as error:
+            log.debug("machine %s: no answer to orders: %s", host, error)
+            self._clients.pop(host, None)
+        await self.send.send(Pushed(host, attempts, executed, report))
+
+    async def _lister(self) -> None:
+        pause = max(LIST_EVERY * self.settings.cluster.cloud.list_lag_s, self.report_s)
+        while True:
+            try:
+                await self.send.send(Seen(await self.cloud.list()))
+            except CloudTrouble as error:
+                log.debug("list: %s", error)
+            await trio.sleep(pause)
+
+    async def _typer(self) -> None:
+        """Keep the types (and prices) in the state service, so that a cloud outage doesn't stop intake."""
+        while True:
+            try:
+                kinds = await self.cloud.types()
+                if kinds != self.view.get(TYPES):
+                    await self.client.foreman_writes.take()
+                    await self.client.commit({EPOCH: self.term.stamp}, {TYPES: kinds}, [], self.report_s)
+                await trio.sleep(TYPES_EVERY * self.report_s)
+            except (CloudTrouble, Unavailable) as error:
+                log.info("machine types: %s", error)
+                await trio.sleep(self.report_s)
+
+    async def _renter(self, name: str, rental: Rental) -> None:
+        kind, zone, spot = rental.offer
+        count = min(rental.count, RENT_MOST)
+        hosts: list[str] = []
+        refused = False
+        while True:
+            try:
+                hosts = await self.cloud.rent(name, kind, zone, spot, count)
+                refused = len(hosts) < count
+                log.info("hire %s: %d of %d %s in %s, spot %s: %s", name, len(hosts), count, kind, zone, spot, hosts)
+                break
+            except NoCapacity:
+                log.info("hire %s: no %s in %s, spot %s", name, kind, zone, spot)
+                refused = True
+                break
+            except CloudTrouble as error:
+                log.info("hire %s: %s", name, error)
+                await trio.sleep(self.report_s / 2)
+        await self.send.send(Rented(rental.offer, hosts, refused))
+
+    async def _delete(self, hosts: list[str]) -> None:
+        try:
+            await self.cloud.delete(hosts)
+            sure = True
+        except CloudTrouble as error:
+            log.info("delete %s: %s", hosts, error)
+            sure = False
+            await trio.sleep(self.report_s / 2)
+        await self.send.send(Deleted(hosts, sure))
--- /dev/null
+++ b/ladderfield/foreman/desk.py
@@ -0,0 +1,321 @@
+"""The foreman's tables and every decision on them; no I/O, no clock of its own.
+
+The order of things is always the same: a claim is made here, ``ledger`` puts it on record, only then does ``orders``
+hand out the launch; the worker's exit is taken in by ``report``, ``ledger`` records it, only then ``orders`` reaps.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from ladderfield.foreman.sessions import Sessions
+from ladderfield.jobs.model import BLOCK, CANCELLED, FINAL, JOB, TYPES, JobSpec, MachineType, parse_types
+from ladderfield.queues.pick import Queues, placeable, tiers, victims
+from ladderfield.queues.work import Claim, Job, task_name
+from ladderfield.settings import Settings
+from ladderfield.state import Change
+from ladderfield.teams import Teams
+from ladderfield.workers.machine import UNKNOWN, Machine
+
+log = logging.getLogger(__name__)
+
+# Ratios to the workers' pace.
+SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
+LOST = 3.0  # of report_s: given up, and deleted so that its claims end
+CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
+PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
+PAUSE_MOST = 10.0  # of report_s
+BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
+BLAME = 2  # different jobs that failed on a machine since its last success make it sick
+
+
+class Desk:
+    """The foreman's tables."""
+
+    def __init__(self, settings: Settings, epoch: int, now: float, wall: float, grace_s: float) -> None:
+        workers = settings.cluster.workers
+        self.settings, self.epoch, self.term_from, self.grace_s = settings, epoch, now, grace_s
+        self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
+        self.wall_offset = wall - now
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.gone: dict[str, None] = {}  # deleted machines: their late reports count for nothing
+        self.teams = Teams(settings.cluster.teams)
+        self.queues = Queues()
+        self.types: dict[str, MachineType] = {}
+        self.cancelled_at: dict[str, float] = {}
+        self.orphans: dict[str, int] = {}  # records of blocks whose job is over: to be deleted
+        self.changed = True  # something since the last pass could let a task start
+        self._attempts = 0
+        self.sessions = Sessions(self)
+        self.push: Callable[[Machine], None] = lambda machine: None
+
+    # -- what is on record -------------------------------------------------------------------------------------
+
+    def load(self, data: dict[str, tuple[Any, int]], now: float) -> None:
+        """Rebuild everything from the state service's keys: a takeover."""
+        self.types = parse_types((data.get(TYPES) or (None, 0))[0])
+        for key, (value, stamp) in data.items():
+            if key.startswith(JOB):
+                self._add_job(value, stamp)
+        for key, (value, stamp) in data.items():
+            if key.startswith(BLOCK):
+                self._load_block(key, value, stamp, now)
+            elif key.startswith(FINAL):
+                self._finalised(key, value, now)
+
+    def _load_block(self, key: str, value: Any, stamp: int, now: float) -> None:
+        uid, _, number = key.removeprefix(BLOCK).rpartition("/")
+        job = self.jobs.get(uid)
+        if job is None:
+            self.orphans[key] = stamp
+            return
+        block = job.load(int(number), value, stamp, now)
+        for claim in block.claims.values():
+            machine = self.machines.get(claim.host)
+            if machine is None:
+                machine = self.machines[claim.host] = Machine(claim.host, "", UNKNOWN, claim.zone, True, now)
+            machine.take(claim)
+            self.teams.add(job.spec)
+
+    def _add_job(self, value: Any, stamp: int) -> None:
+        spec = msgspec.convert(value["spec"], JobSpec)
+        if spec.uid not in self.jobs:
+            self.jobs[spec.uid] = Job(spec, value["at"] - self.wall_offset, value["block"], stamp)
+            self.changed = True
+
+    def _finalised(self, key: str, value: Any, now: float) -> None:
+        job = self.jobs.get(key.removeprefix(FINAL))
+        if job is None or job.final is not None:
+            return
+        job.final = value["phase"]
+        if job.final == CANCELLED:
+            self.cancelled_at[job.uid] = value.get("at", self.wall_offset + self.term_from) - self.wall_offset
+            log.info("job %s: cancelled, stopping %d tasks", job.uid, len(job.claims))
+        self.queues.drop(job, self.machines.values())
+        for claim in list(job.claims.values()):
+            self.stop(claim, "cancelled", now)
+
+    def take_changes(self, changes: Iterable[Change], now: float) -> None:
+        """Changes made by other controllers' front doors (and our own)."""
+        for change in changes:
+            if change.value is None:
+                continue
+            if change.key.startswith(JOB):
+                self._add_job(change.value, change.stamp)
+            elif change.key.startswith(FINAL):
+                self._finalised(change.key, change.value, now)
+            elif change.key == TYPES:
+                self.types = parse_types(change.value)
+
+    # -- claims ------------------------------------------------------------------------------------------------
+
+    def claim(self, job: Job, index: int, machine: Machine, helped: str, now: float) -> Claim:
+        """Bind a task to a machine under a fresh attempt; the epoch in it keeps it fresh for ever."""
+        self._attempts += 1
+        claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.zone, now)
+        claim.helped = helped
+        job.bind(claim)
+        job.block_of(index).touch()
+        machine.take(claim)
+        self.teams.add(job.spec)
+        log.debug("task %s: attempt %d claimed for %s", task_name(claim.task), claim.attempt, machine.host)
+        return claim
+
+    def end(self, claim: Claim, done: bool, now: float) -> None:
+        """The attempt is surely gone: the claim no longer binds."""
+        job = claim.job
+        machine = self.machines[claim.host]
+        machine.free(claim, now)
+        job.release(claim)
+        self.teams.add(job.spec, -1)
+        self.changed = True
+        if done:
+            job.block_of(claim.index).done.add(claim.index)
+            job.done += 1
+        elif job.final is None:
+            self.queues.put_back(job, claim.index)
+
+    def stop(self, claim: Claim, why: str, now: float) -> None:
+        """Have a claim's task stopped; one whose launch never went out ends here."""
+        if claim.stopping is None:
+            claim.stopping = why
+            if claim.sent_tenure is None and not claim.inherited:
+                self.end(claim, False, now)
+            else:
+                self.push(self.machines[claim.host])
+
+    # -- scheduling --------------------------------------------------------------------------------------------
+
+    def usable(self, now: float) -> list[Machine]:
+        """Machines that may get new work."""
+        silence = SILENT * self.report_s
+        return [machine for machine in self.machines.values() if machine.usable(now, silence)]
+
+    def schedule(self, now: float) -> int:
+        """Deal, then let free machines pull, in the order of guarantee and rank; the number of claims made."""
+        self.changed = False
+        machines = self.usable(now)
+        made = 0
+        for job in self.jobs.values():
+            if job.final is None:
+                while job.queued + len(job.undealt) < job.block and job.open_next():
+                    pass
+                if job.undealt:
+                    self.queues.deal(job, machines)
+        ready = tiers(self.jobs.values(), self.teams, now)
+        if not ready:
+            return 0
+        free = [machine for machine in machines if machine.cpus > 0]
+        # Fuller machines ask first, so that the emptier ones run dry and can be returned.
+        free.sort(key=lambda one: (one.cpus / one.kind.cpus if one.kind.cpus else 1, one.host))
+        for tier in ready:
+            rank = next(iter(tier)).order[0]
+            for score in (1, 0):
+                for machine in free:
+                    if now < machine.hold_until and rank > machine.hold_rank:
+                        continue
+                    made += self._fill(machine, machines, tier, score, now)
+        if made:
+            self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
+        return made
+
+    def _fill(self, machine: Machine, machines: list[Machine], tier: set[Job], score: int, now: float) -> int:
+        made = 0
+        while True:
+            jobs = {job for job in tier if job.queued and machine.has_room(job.spec)}
+            if not jobs:
+                return made
+            pulled = self.queues.pull(machine, machines, jobs, score)
+            if pulled is None:
+                return made
+            job, index, owner = pulled
+            self.claim(job, index, machine, owner, now)
+            made += 1
+            if not self.teams.room(job.spec):
+                tier.discard(job)
+
+    def preempt(self, now: float) -> None:
+        """Clear room for a production replica that no machine has room for; only lower ranks give way."""
+        machines = self.usable(now)
+        for job in self.jobs.values():
+            rank = job.order[0]
+            if job.final is not None or rank != 0 or not job.queued or not self.teams.room(job.spec):
+                continue
+            holding = sum(1 for one in machines if now < one.hold_until and one.hold_rank == rank)
+            if holding >= job.queued:
+                continue
+            best: tuple[float, str, list[Claim]] | None = None
+            for machine in machines:
+                if now < machine.hold_until or not placeable(job, machine):
+                    continue
+                lower = {
+                    claim: now - (claim.running_at or now)
+                    for claim in machine.claims.values()
+                    if claim.job.order[0] > rank and claim.stopping is None
+                }
+                chosen = victims(machine, job, self.teams, lower)
+                if chosen:
+                    lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
+                    if best is None or (lost, machine.host) < best[:2]:
+                        best = (lost, machine.host, chosen)
+            if best is not None:
+                machine = self.machines[best[1]]
+                machine.hold_rank, machine.hold_until = rank, now + 2 * self.report_s
+                log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
+                for claim in best[2]:
+                    self.stop(claim, "preempted", now)
+
+    # -- machines ----------------------------------------------------------------------------------------------
+
+    def failed(self, claim: Claim, machine: Machine, now: float) -> None:
+        """A task ended in error: retried elsewhere after a pause; who is to blame shows with the next failures."""
+        job = claim.job
+        job.errors += 1
+        job.failed_hosts.add(machine.host)
+        if len(job.failed_hosts) >= len(self.usable(now)):
+            job.failed_hosts = {machine.host}
+        job.not_before = now + min(PAUSE_MOST, PAUSE * 2 ** min(job.errors - 1, 10)) * self.report_s
+        # A job that failed on several machines without a success is itself the likely cause.
+        if len(job.failed_hosts) <= BLAME or job.done:
+            machine.blamed.add(job.uid)
+        if len(machine.blamed) >= BLAME and not machine.sick:
+            log.warning("machine %s: sick, tasks of %d jobs failed there", machine.host, len(machine.blamed))
+            machine.sick = True
+            self.queues.withdraw(machine)
+
+    def forget(self, host: str, now: float) -> None:
+        """The machine is gone for good: its deletion was answered."""
+        self.gone[host] = None
+        while len(self.gone) > 4096:
+            del self.gone[next(iter(self.gone))]
+        machine = self.machines.get(host)
+        if machine is None:
+            return
+        self.queues.withdraw(machine)
+        for claim in list(machine.claims.values()):
+            self.end(claim, False, now)
+        del self.machines[host]
+        self.changed = True
+        log.info("machine %s: deleted", host)
+
+    def sweep(self, now: float) -> list[str]:
+        """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
+        doomed = []
+        for machine in self.machines.values():
+            heard = machine.heard_at if machine.heard_at is not None else self.term_from
+            silent = now - heard
+            if machine.claims and now > machine.lease_over_at(
+                self.epoch, self.term_from, self.grace_s, self.lease_s
+            ):
+                log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
+                self.queues.withdraw(machine)
+                for claim in list(machine.claims.values()):
+                    self.end(claim, False, now)
+            if machine.queue and not machine.usable(now, SILENT * self.report_s):
+                self.queues.withdraw(machine)
+                self.changed = True
+            why = self._doomed(machine, silent, now)
+            if why and not machine.deleting:
+                log.warning("machine %s: to be deleted: %s", machine.host, why)
+                machine.deleting = True
+            if machine.deleting:
+                doomed.append(machine.host)
+        for job in self.jobs.values():
+            if job.final is None and job.undealt:
+                self.changed = True
+            if job.not_before and job.not_before <= now:
+                job.not_before = 0.0
+                self.changed = True
+        return doomed
+
+    def _doomed(self, machine: Machine, silent: float, now: float) -> str | None:
+        if machine.listed == "failed":
+            return "it failed"
+        booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
+        if booted and silent > LOST * self.report_s:
+            return f"not heard for {silent:.1f} s"
+        if not booted and now - machine.born_at > BOOT * machine.kind.boot_s:
+            return "it never came up"
+        if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
+            return "it is sick"
+        for claim in machine.claims.values():
+            since = self.cancelled_at.get(claim.job.uid)
+            if since is not None and now - since > CANCEL_BY * self.cancel_s:
+                return f"it still holds {task_name(claim.task)}, which was cancelled"
+        return None
+
+    def recalled(self, machine: Machine, now: float) -> None:
+        """The cloud takes the machine back: nothing new for it, and what can't finish in time starts elsewhere."""
+        self.queues.withdraw(machine)
+        self.changed = True
+        left = (machine.recall_at or now) - now
+        for claim in list(machine.claims.values()):
+            spec = claim.job.spec
+            ran = now - (claim.running_at if claim.running_at is not None else now)
+            if spec.service or spec.checkpoint_s or claim.job.run_s() - ran > left:
+                self.stop(claim, "the machine leaves", now)
--- /dev/null
+++ b/ladderfield/foreman/sessions.py
@@ -0,0 +1,190 @@
+"""What workers report and what they are told: the rules by which a claim ends."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+from ladderfield.jobs.model import MachineType
+from ladderfield.queues.work import Claim, TaskId, task_name
+from ladderfield.workers.machine import UNKNOWN, Machine
+from ladderfield.workers.report import Report, Rung
+
+if TYPE_CHECKING:
+    from ladderfield.foreman.desk import Desk
+
+log = logging.getLogger(__name__)
+
+RESEND = 2.0  # of report_s: a stop that shows no effect, or a launch that isn't listed, goes out again
+WIND_DOWN = 2.0  # of markCostS: time allowed for saving, as machines differ in speed
+
+
+class Sessions:
+    """Takes reports in and hands orders out, on the desk's tables."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+
+    def machine(self, host: str, endpoint: str, kind: str, zone: str, spot: bool, now: float) -> Machine | None:
+        """The machine's entry, made or completed from what a report or the list says; None if it is gone."""
+        desk = self.desk
+        if host in desk.gone:
+            return None
+        known: MachineType = desk.types.get(kind, UNKNOWN)
+        machine = desk.machines.get(host)
+        if machine is None:
+            machine = desk.machines[host] = Machine(host, endpoint, known, zone, spot, now)
+        elif machine.kind is UNKNOWN or not machine.endpoint:
+            machine.learn(endpoint, known, zone, spot)
+        return machine
+
+    def report(self, report: Report, now: float, answering: bool) -> Machine | None:
+        """Take a report in. ``answering``: it came to /v1/report, so that our answer renews the lease."""
+        desk = self.desk
+        machine = self.machine(report.host, report.endpoint, report.type, report.zone, report.spot, now)
+        if machine is None:
+            return None
+        if answering:
+            machine.answered_at = now
+        if (report.tenure, report.tick) <= (machine.tenure, machine.tick) and machine.heard_at is not None:
+            return machine  # overtaken on its way: what it lists is no longer so
+        if machine.heard_at is None:
+            log.info("machine %s: %s in %s is up", machine.host, machine.kind.name, machine.zone)
+            desk.changed = True
+        elif now - machine.heard_at > desk.report_s:
+            desk.changed = True
+        machine.heard_at = now
+        new_session = report.tenure > machine.tenure
+        if new_session:
+            machine.doubts.clear()  # orders of an earlier session are refused from now on
+        machine.tenure, machine.tick, machine.epoch = report.tenure, report.tick, report.epoch
+        machine.endpoint = report.endpoint
+        if report.recall_s is not None and machine.recall_at is None:
+            machine.recall_at = now + report.recall_s
+            log.info("machine %s: taken back in %.1f s", machine.host, report.recall_s)
+            desk.recalled(machine, now)
+        accepted = report.epoch == desk.epoch
+        listed: dict[TaskId, Rung] = {rung.task(): rung for rung in report.rungs}
+        machine.seen = {task: (rung.attempt, rung.phase) for task, rung in listed.items()}
+        for claim in list(machine.claims.values()):
+            rung = listed.get(claim.task)
+            if rung is not None and rung.attempt == claim.attempt:
+                self._listed(machine, claim, rung, now)
+            elif accepted and self._gone(machine, claim, report, answering):
+                log.info("task %s: attempt %d is not on %s", task_name(claim.task), claim.attempt, machine.host)
+                desk.end(claim, False, now)
+        return machine
+
+    def _gone(self, machine: Machine, claim: Claim, report: Report, answering: bool) -> bool:
+        """Whether a claim that the machine doesn't list is surely dead. The machine has accepted our epoch, so no
+        earlier foreman's order can run any more; what is left are our own orders."""
+        if claim.sent_tenure is None:
+            return claim.inherited
+        if claim.sent_tenure != report.tenure:
+            return True  # the session it was sent to is over, and orders of that session are refused
+        if claim.attempt in machine.doubts or not answering or report.tick <= claim.sent_tick:
+            return False  # a copy may still arrive
+        # The launch went with the answer to an earlier report. The worker has one report in flight at a time and
+        # drops late answers, so that answer is lost; nothing else can bring this attempt to life but a new launch.
+        claim.sent_tenure = None
+        claim.inherited = False
+        if claim.stopping is not None:
+            return True
+        return False
+
+    def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
+        desk, job = self.desk, claim.job
+        claim.sent_tenure = machine.tenure
+        claim.inherited = False
+        if rung.phase != "exited":
+            if rung.phase == "running" and claim.phase != "running":
+                claim.running_at = now
+                machine.use_image(job.spec.image, job.spec.image_gb)
+            claim.phase = rung.phase
+            return
+        if rung.cause == "done":
+            if claim.running_at is not None and len(job.finished_s) < 99:
+                job.finished_s.append(now - claim.running_at)
+            machine.finished += 1
+            machine.blamed.clear()
+            machine.use_image(job.spec.image, job.spec.image_gb)
+            job.errors = 0
+            job.failed_hosts.discard(machine.host)
+        log.debug("task %s: attempt %d on %s: %s", task_name(claim.task), claim.attempt, machine.host, rung.cause)
+        desk.end(claim, rung.cause == "done", now)
+        if rung.cause == "error":
+            desk.failed(claim, machine, now)
+        elif rung.cause in ("no_room", "in_use", "unknown"):
+            log.warning("task %s: %s refused it: %s", task_name(claim.task), machine.host, rung.cause)
+            job.not_before = now + desk.report_s
+
+    def orders(self, machine: Machine, now: float, tick: int | None) -> list[dict[str, Any]]:
+        """What the machine has to be told now. ``tick``: the report that this answers, None for a push."""
+        desk, result = self.desk, []
+        if machine.deleting and not machine.claims:
+            return result
+        resend = RESEND * desk.report_s
+        for claim in list(machine.claims.values()):
+            attempt, phase = machine.seen.get(claim.task, (None, ""))
+            on_it = attempt == claim.attempt
+            if claim.stopping is not None:
+                if on_it and phase != "exited" and now - claim.stop_at > resend:
+                    again = claim.stop_at > 0
+                    claim.stop_at = now
+                    result.append(self._stop(claim.task, claim.attempt, 0.0 if again else self._wind_down(claim)))
+                continue
+            if on_it or not claim.recorded or claim.inherited:
+                continue
+            if attempt is not None:
+                if attempt in machine.doubts and claim.sent_tenure is None:
+                    # The old attempt has to stay listed, as it shields against its own late copies.
+                    claim.job.failed_hosts.add(machine.host)
+                    desk.end(claim, False, now)
+                continue
+            if claim.sent_tenure is None or now - claim.sent_at > resend:
+                claim.sent_tenure, claim.sent_at = machine.tenure, now
+                if tick is None:
+                    machine.doubts[claim.attempt] = machine.doubts.get(claim.attempt, 0) + 1
+                    claim.sent_tick = machine.tick
+                else:
+                    claim.sent_tick = tick
+                result.append({"verb": "launch", "rung": task_name(claim.task), "try": claim.attempt})
+        for task, (attempt, phase) in machine.seen.items():
+            claim = machine.claims.get(task)
+            if claim is not None and claim.attempt == attempt:
+                continue
+            if phase != "exited":
+                # No claim stands for it. That can't be ours to want, so it has to go.
+                result.append(self._stop(task, attempt, 0.0))
+            elif attempt not in machine.doubts and self._settled(task):
+                result.append({"verb": "reap", "rung": task_name(task), "try": attempt})
+        return result
+
+    def _wind_down(self, claim: Claim) -> float:
+        spec = claim.job.spec
+        if not spec.checkpoint_s or claim.stopping == "cancelled":
+            return 0.0
+        return spec.save_s * WIND_DOWN
+
+    @staticmethod
+    def _stop(task: TaskId, attempt: int, wind_down_s: float) -> dict[str, Any]:
+        return {"verb": "stop", "rung": task_name(task), "try": attempt, "windDownS": wind_down_s}
+
+    def _settled(self, task: TaskId) -> bool:
+        """Whether the task's end is on record, so that the worker may forget it."""
+        job = self.desk.jobs.get(task[0])
+        if job is None or not 0 <= task[1] < job.spec.tasks:
+            return True
+        return job.block_of(task[1]).settled
+
+    def answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
+        """An /orders call was answered. Only then is it known that no copy of it is under way."""
+        for attempt in attempts:
+            left = machine.doubts.pop(attempt, 0) - 1
+            if left > 0:
+                machine.doubts[attempt] = left
+        if not executed:
+            for claim in machine.claims.values():
+                if claim.attempt in attempts:
+                    claim.sent_tenure = None
--- /dev/null
+++ b/ladderfield/jobs/door.py
@@ -0,0 +1,213 @@
+"""The front door that every controller is: takes jobs and cancellations, answers polls.
+
+Nothing is answered from memory alone unless it is final. An accepted or cancelled job is in the state service
+before its user hears of it, and any answer that could have been overtaken (a 404 too) first proves that the view
+holds everything decided up to the moment of the question. So no two controllers can contradict each other.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+
+import msgspec
+import trio
+
+from ladderfield.http import Reply, Request
+from ladderfield.jobs.model import (
+    CANCELLED,
+    FINAL,
+    JOB,
+    TYPES,
+    Malformed,
+    block_count,
+    block_key,
+    block_size,
+    impossible,
+    parse,
+    parse_types,
+    valid_uid,
+)
+from ladderfield.settings import Settings
+from ladderfield.state import StateClient, Unavailable, View
+
+log = logging.getLogger(__name__)
+
+POLL_S = 2.0  # the protocol: how long a user waits for a poll's answer
+SUBMIT_S = 5.0  # and for the answer to a submission or a cancellation
+SPARE = 0.7  # of these is ours to use; the rest is for the network and the client
+
+
+class Door:
+    """Answers users on this controller."""
+
+    def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
+        self.client, self.view = client, view
+        self.teams = {team.name: team for team in settings.cluster.teams}
+        self.block = block_size(settings.cluster.state.value_kb)
+        # Each stage is small and tells those it can't take at once; a second's share of the writes may wait.
+        self.room = max(4, int(settings.cluster.quota.max_connections / 16))
+        self.busy = 0
+        self._types: tuple[int, dict] = (-1, {})
+
+    async def __call__(self, request: Request) -> Reply | None:
+        """The answer, or None if the path is not a user's."""
+        path = request.path.partition("?")[0]
+        if path == "/ready":
+            if request.method != "GET":
+                return Reply(405, {"error": "method"})
+            return Reply(200, {}) if self.view.synced else busy(1)
+        if path == "/api/jobs":
+            return await self._bounded(self._submit, request.body) if request.method == "POST" else wrong_method()
+        if not path.startswith("/api/jobs/"):
+            return None
+        uid, slash, verb = path.removeprefix("/api/jobs/").partition("/")
+        if not slash:
+            return await self._bounded(self._poll, uid) if request.method == "GET" else wrong_method()
+        if verb == "cancel":
+            return await self._bounded(self._cancel, uid) if request.method == "POST" else wrong_method()
+        return None
+
+    async def _bounded(self, stage: Any, argument: Any) -> Reply:
+        if self.busy >= self.room:
+            return busy(1)
+        self.busy += 1
+        try:
+            return await stage(argument)
+        finally:
+            self.busy -= 1
+
+    def types(self) -> dict:
+        """Machine types as kept in the state service."""
+        stamp = self.view.stamp(TYPES)
+        if stamp != self._types[0]:
+            self._types = (stamp, parse_types(self.view.get(TYPES)))
+        return self._types[1]
+
+    async def _submit(self, body: bytes) -> Reply:
+        try:
+            spec = parse(body)
+        except Malformed as error:
+            return Reply(400, {"error": str(error)})
+        uid = spec.uid
+        if not self.view.synced:
+            return busy(1)
+        if (final := self._final(uid)) is not None:
+            return final
+        kinds = self.types()
+        why = impossible(spec, kinds, self.teams) if kinds else "unknown types"
+        if self.view.get(JOB + uid) is not None or why is not None:
+            # Known already, or to be refused: both need the proof that nothing newer says otherwise.
+            if not await self.view.fresh(SUBMIT_S * SPARE):
+                return busy(1)
+            known = self._state(uid)
+            if known is not None:
+                return known
+            if not kinds:
+                return busy(2)
+            if why is not None:
+                return Reply(422, {"error": why})
+        record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
+        until = trio.current_time() + SUBMIT_S * SPARE
+        guards = {JOB + uid: 0, FINAL + uid: 0}
+        while trio.current_time() < until:
+            if not await self.client.writes.take(patience=SUBMIT_S / 5):
+                return busy(1)
+            try:
+                outcome = await self.client.commit(guards, {JOB + uid: record}, [], SUBMIT_S * SPARE / 3)
+            except Unavailable as error:
+                log.debug("job %s: not written yet: %s", uid, error)
+                if not self._hopeful():
+                    return busy(1)
+                await trio.sleep(SUBMIT_S / 50)
+                continue
+            with trio.move_on_at(until):
+                await self.view.reach(outcome.ledger)
+                if outcome.failed is None:
+                    log.info("job %s: accepted from %s, %d tasks", uid, spec.team, spec.tasks)
+                    return Reply(201, {"uid": uid, "phase": "queued"})
+                known = self._state(uid)
+                if known is not None:
+                    return known
+            if outcome.failed is None:
+                return Reply(201, {"uid": uid, "phase": "queued"})
+        return busy(1)
+
+    def _hopeful(self) -> bool:
+        """Whether the state service answered lately: asking it again within this request may help."""
+        return trio.current_time() - self.client.answered_at < SUBMIT_S / 5
+
+    def _final(self, uid: str) -> Reply | None:
+        final = self.view.get(FINAL + uid)
+        if final is None:
+            return None
+        phase = final.get("phase")
+        return Reply(200, {"uid": uid, "phase": phase, "done": final.get("done", 0), "running": 0})
+
+    def _state(self, uid: str) -> Reply | None:
+        """The job's state in the view, or None if it isn't there."""
+        if (final := self._final(uid)) is not None:
+            return final
+        job = self.view.get(JOB + uid)
+        if job is None:
+            return None
+        done = running = 0
+        for number in range(block_count(job["spec"]["rungs"], job["block"])):
+            block = self.view.get(block_key(uid, number))
+            if block is not None:
+                done += sum(last - first + 1 for first, last in block["d"])
+                running += len(block["a"])
+        phase = "running" if running else "queued"
+        return Reply(200, {"uid": uid, "phase": phase, "done": done, "running": running})
+
+    async def _poll(self, uid: str) -> Reply:
+        if not valid_uid(uid):
+            return Reply(404, {"error": "no such job"})
+        if (final := self._final(uid)) is not None:
+            return final
+        if not await self.view.fresh(POLL_S * SPARE):
+            return busy(1)
+        return self._state(uid) or Reply(404, {"error": "no such job"})
+
+    async def _cancel(self, uid: str) -> Reply:
+        if not valid_uid(uid):
+            return Reply(404, {"error": "no such job"})
+        until = trio.current_time() + SUBMIT_S * SPARE
+        while trio.current_time() < until:
+            if (final := self._final(uid)) is not None:
+                return final
+            if self.view.get(JOB + uid) is None:
+                if not await self.view.fresh(until - trio.current_time()):
+                    return busy(1)
+                if self._state(uid) is None:
+                    return Reply(404, {"error": "no such job"})
+                continue
+            guards = {JOB + uid: self.view.stamp(JOB + uid), FINAL + uid: 0}
+            if not await self.client.writes.take(patience=SUBMIT_S / 3):
+                return busy(1)
+            try:
+                final = {"phase": CANCELLED, "at": round(time.time(), 3)}
+                outcome = await self.client.commit(guards, {FINAL + uid: final}, [], SUBMIT_S * SPARE / 3)
+            except Unavailable as error:
+                log.debug("job %s: not cancelled yet: %s", uid, error)
+                if not self._hopeful():
+                    return busy(1)
+                await trio.sleep(SUBMIT_S / 50)
+                continue
+            if outcome.failed is None:
+                log.info("job %s: cancelled by its user", uid)
+                return Reply(200, {"uid": uid, "phase": CANCELLED})
+            with trio.move_on_at(until):
+                await self.view.reach(outcome.ledger)
+        return busy(1)
+
+
+def busy(after: int) -> Reply:
+    """Can't be taken now; says when to come back."""
+    return Reply(503, {"error": "try again"}, retry_after=after)
+
+
+def wrong_method() -> Reply:
+    """The path is known, the method isn't."""
+    return Reply(405, {"error": "method"})
--- /dev/null
+++ b/ladderfield/leadership.py
@@ -0,0 +1,152 @@
+"""Who is foreman: a lease in the state service names it, and an epoch that only grows tells its orders apart.
+
+Raising the epoch is one conditional write, made together with the lease's key. As every write of a foreman is
+guarded by the epoch key's version, that one write also moves all claims to the new foreman: nothing that an
+earlier foreman still has on its way to the state service can be applied any more.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+
+import trio
+
+from ladderfield.settings import Settings
+from ladderfield.state import StateClient, Unavailable, View
+from ladderfield.workers.machine import CLOCKS
+
+log = logging.getLogger(__name__)
+
+FOREMAN = "lf/foreman"
+EPOCH = "lf/epoch"
+
+# How long a foreman that cannot renew its lease goes on answering reports, as a ratio of the workers' lease. It
+# spans an outage of the state service; a successor adds it before it calls an unheard machine's lease expired.
+GRACE = 3.0
+TTL = 1.25  # of report_s: a crash costs about one round of reports
+
+
+def grace_s(settings: Settings) -> float:
+    """The bound on answers without a renewed lease."""
+    return GRACE * settings.cluster.workers.lease_s
+
+
+@dataclass
+class Term:
+    """One foreman's time in office."""
+
+    epoch: int
+    stamp: int  # the epoch key's version: the guard of every write
+    hold: int
+    renewed_at: float  # when the last renewal that succeeded was sent
+    ttl: float
+    over: trio.Event = field(default_factory=trio.Event)
+
+    def may_start(self, now: float) -> bool:
+        """Whether new work may begin: only while the lease is surely ours."""
+        return not self.over.is_set() and now < self.renewed_at + self.ttl / CLOCKS
+
+    def end(self, why: str) -> None:
+        """Step down."""
+        if not self.over.is_set():
+            log.info("epoch %d: no longer foreman: %s", self.epoch, why)
+            self.over.set()
+
+
+class Leadership:
+    """Campaigns whenever there is no foreman, and keeps the lease while this controller is it."""
+
+    def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
+        self.settings, self.client, self.view = settings, client, view
+        self.ttl = max(0.1, TTL * settings.cluster.workers.report_s)
+        self.grace = grace_s(settings)
+        self.term: Term | None = None
+        members = sorted([settings.member, *(peer.member for peer in settings.peers)])
+        self._turn = members.index(settings.member)
+
+    def known_foreman(self) -> str | None:
+        """Who the view says is foreman."""
+        value = self.view.get(FOREMAN)
+        return value.get("member") if isinstance(value, dict) else None
+
+    async def run(self, terms: trio.MemorySendChannel[Term]) -> None:
+        """Campaign and serve, term after term. Each term is announced once it is won."""
+        async with self.view.subscribe() as changes:
+            while True:
+                while self.view.synced and self._vacant():
+                    # A short turn by name keeps two candidates from paying for the same campaign.
+                    if self._turn and self.known_foreman() is None:
+                        await trio.sleep(self._turn * self.ttl / 40)
+                        if not self._vacant():
+                            break
+                    try:
+                        term = await self._campaign()
+                    except Unavailable as error:
+                        log.debug("campaign: %s", error)
+                        term = None
+                    if term is not None:
+                        await self._serve(term, terms, changes)
+                    else:
+                        await trio.sleep(self.ttl / 10)
+                with trio.move_on_after(self.ttl):
+                    await changes.receive()
+
+    def _vacant(self) -> bool:
+        """No foreman, or the one on record is an earlier process of this very controller, which is dead."""
+        return self.known_foreman() in (None, self.settings.member)
+
+    async def _campaign(self) -> Term | None:
+        guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
+        epoch = int((self.view.get(EPOCH) or {}).get("epoch", 0)) + 1
+        timeout = self.ttl / 2
+        hold = await self.client.grant(self.ttl, timeout)
+        sent = trio.current_time()
+        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: {"epoch": epoch}}
+        outcome = await self.client.commit(guards, puts, [], timeout, hold, FOREMAN)
+        if outcome.failed is not None:
+            with trio.move_on_after(timeout):
+                await self.view.reach(outcome.ledger)
+            return None
+        log.info("epoch %d: foreman is %s", epoch, self.settings.member)
+        return Term(epoch, outcome.ledger, hold, sent, self.ttl)
+
+    async def _serve(
+        self, term: Term, terms: trio.MemorySendChannel[Term], changes: trio.MemoryReceiveChannel[list]
+    ) -> None:
+        self.term = term
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._discard, changes)
+                await terms.send(term)
+                await self._renew(term)
+                nursery.cancel_scope.cancel()
+        finally:
+            term.end("the term ended")
+            self.term = None
+
+    async def _discard(self, changes: trio.MemoryReceiveChannel[list]) -> None:
+        """The view waits for its readers: drain it while nothing in it concerns a campaign."""
+        async for _ in changes:
+            self._higher()
+
+    def _higher(self) -> None:
+        epoch = int((self.view.get(EPOCH) or {}).get("epoch", 0))
+        if self.term is not None and epoch > self.term.epoch:
+            self.term.end(f"epoch {epoch} is on record")
+
+    async def _renew(self, term: Term) -> None:
+        while not term.over.is_set():
+            with trio.move_on_after(self.ttl / 4):
+                await term.over.wait()
+            sent = trio.current_time()
+            try:
+                if await self.client.touch(term.hold, self.ttl / 2):
+                    term.renewed_at = sent
+                else:
+                    term.end("its lease ended")
+            except Unavailable as error:
+                log.debug("epoch %d: renewal: %s", term.epoch, error)
+                if trio.current_time() > term.renewed_at + self.ttl + self.grace:
+                    term.end("its lease could not be renewed")
+
--- /dev/null
+++ b/ladderfield/peers.py
@@ -0,0 +1,129 @@
+"""What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
+
+Only two things need it: a worker that can't reach the foreman gets its report relayed, and a controller that the
+state service turns away learns whether it is alone with that.
+
+    frame:  magic 2s | version B | kind B | status H | length I | body
+"""
+
+from __future__ import annotations
+
+import logging
+import struct
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ladderfield.http import connect
+from ladderfield.settings import Peer, address
+
+log = logging.getLogger(__name__)
+
+HEAD = struct.Struct("!2sBBHI")
+MAGIC, VERSION = b"lf", 1
+BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
+RELAY, ANSWER, HEALTH = 1, 2, 3
+AT_ONCE = 8  # questions to one peer
+
+
+class BadFrame(Exception):
+    """Not a frame of ours: the connection is closed."""
+
+
+def pack(kind: int, status: int, body: bytes) -> bytes:
+    """A frame."""
+    if len(body) > BODY_MOST:
+        raise BadFrame(f"{len(body)} bytes are too many")
+    return HEAD.pack(MAGIC, VERSION, kind, status, len(body)) + body
+
+
+def unpack_head(head: bytes) -> tuple[int, int, int]:
+    """Kind, status and length of the body to come."""
+    magic, version, kind, status, length = HEAD.unpack(head)
+    if magic != MAGIC or version != VERSION or kind not in (RELAY, ANSWER, HEALTH) or length > BODY_MOST:
+        raise BadFrame(f"{head.hex()} is no frame head")
+    return kind, status, length
+
+
+async def _exactly(stream: trio.SocketStream, size: int) -> bytes:
+    parts = bytearray()
+    while len(parts) < size:
+        data = await stream.receive_some(size - len(parts))
+        if not data:
+            raise EOFError
+        parts += data
+    return bytes(parts)
+
+
+async def read(stream: trio.SocketStream) -> tuple[int, int, bytes]:
+    """The next frame; EOFError when the other side is done."""
+    kind, status, length = unpack_head(await _exactly(stream, HEAD.size))
+    return kind, status, await _exactly(stream, length)
+
+
+Answerer = Callable[[int, bytes], Awaitable[tuple[int, bytes]]]
+
+
+class BackServer:
+    """Answers the other controllers."""
+
+    def __init__(self, answer: Answerer, most: int, idle_s: float, answer_s: float) -> None:
+        self.answer, self.most, self.idle_s, self.answer_s = answer, most, idle_s, answer_s
+        self.open = 0
+        self._warned = False
+
+    async def __call__(self, stream: trio.SocketStream) -> None:
+        """Serve one connection; a malformed frame ends it, and is told once."""
+        self.open += 1
+        try:
+            async with stream:
+                while self.open <= self.most:
+                    with trio.move_on_after(self.idle_s) as scope:
+                        kind, _, body = await read(stream)
+                    if scope.cancelled_caught:
+                        return
+                    status, body = await self.answer(kind, body)
+                    with trio.fail_after(self.answer_s):
+                        await stream.send_all(pack(ANSWER, status, body))
+        except BadFrame as error:
+            if not self._warned:
+                self._warned = True
+                log.warning("a malformed frame came over back: %s", error)
+        except (EOFError, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            pass
+        finally:
+            self.open -= 1
+
+
+class PeerLink:
+    """Questions to one other controller."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self._at = address(peer.endpoint)
+        self._idle: list[trio.SocketStream] = []
+        self._busy = 0
+
+    async def ask(self, kind: int, body: bytes, timeout: float) -> tuple[int, bytes] | None:
+        """The answer's status and body, or None."""
+        if self._busy >= AT_ONCE:
+            return None
+        self._busy += 1
+        stream: trio.SocketStream | None = None
+        whole = False
+        try:
+            with trio.fail_after(timeout):
+                stream = self._idle.pop() if self._idle else await connect(*self._at)
+                await stream.send_all(pack(kind, 0, body))
+                answer_kind, status, answer = await read(stream)
+                whole = answer_kind == ANSWER
+                return (status, answer) if whole else None
+        except (BadFrame, EOFError, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            return None
+        finally:
+            self._busy -= 1
+            if stream is not None:
+                if whole and len(self._idle) < AT_ONCE:
+                    self._idle.append(stream)
+                else:
+                    await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/ladderfield/server.py
@@ -0,0 +1,100 @@
+"""One controller: puts the slices together and runs them for as long as the process lives."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ladderfield.fleet.cloud import Cloud, CloudTrouble
+from ladderfield.foreman.actor import Foreman
+from ladderfield.http import Reply, Request, Server
+from ladderfield.jobs.door import SUBMIT_S, Door
+from ladderfield.jobs.model import TYPES
+from ladderfield.leadership import Leadership, Term
+from ladderfield.peers import HEALTH, RELAY, BackServer, PeerLink
+from ladderfield.settings import Settings, address
+from ladderfield.state import StateClient, Unavailable, View
+from ladderfield.workers.intake import ReportDesk
+
+log = logging.getLogger(__name__)
+
+IDLE_S = 60.0  # a kept connection may be silent for so long
+USERS_SHARE = 0.7  # of the sockets; the rest is for our own calls and the other controllers
+
+
+class Controller:
+    """All slices of one process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.client = StateClient(settings)
+        self.view = View(self.client, settings)
+        self.cloud = Cloud(settings)
+        self.leadership = Leadership(settings, self.client, self.view)
+        self.links = {peer.member: PeerLink(peer) for peer in settings.peers}
+        self.door = Door(settings, self.client, self.view)
+        self.reports = ReportDesk(settings, self.leadership, self.links)
+
+    async def handle(self, request: Request) -> Reply:
+        """Any request to ``bind``."""
+        reply = await self.reports(request)
+        if reply is None:
+            reply = await self.door(request)
+        return reply or Reply(404, {"error": "no such path"})
+
+    async def handle_back(self, kind: int, body: bytes) -> tuple[int, bytes]:
+        """Any question over ``back``."""
+        if kind == RELAY:
+            return await self.reports.relayed(body)
+        if kind == HEALTH:
+            return 200, b""
+        return 400, b""
+
+    async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
+        """Be foreman whenever this controller is elected."""
+        async for term in terms:
+            foreman = Foreman(self.settings, term, self.client, self.view, self.cloud)
+            await foreman.run(self._announce)
+
+    def _announce(self, inbox: trio.MemorySendChannel | None) -> None:
+        self.reports.inbox = inbox
+
+    async def run_types(self) -> None:
+        """Put the machine types on record if nobody has yet: without them no job can be judged."""
+        pause = self.settings.cluster.workers.report_s
+        while True:
+            if self.view.synced and self.view.get(TYPES) is None:
+                try:
+                    await self.cloud.idle_budget.take()
+                    kinds = await self.cloud.types()
+                    await self.client.writes.take()
+                    await self.client.commit({TYPES: 0}, {TYPES: kinds}, [], pause)
+                except (CloudTrouble, Unavailable) as error:
+                    log.info("machine types: %s", error)
+            await trio.sleep(pause / 4 if self.view.get(TYPES) is None else pause)
+
+
+async def _listen(text: str, serve: Callable[[trio.SocketStream], Awaitable[None]], most: int) -> None:
+    host, port = address(text)
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=min(most, 512))
+    await trio.serve_listeners(serve, listeners)
+
+
+async def serve(settings: Settings) -> None:
+    """Run the controller."""
+    controller = Controller(settings)
+    most = settings.cluster.quota.max_connections
+    front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
+    back = BackServer(controller.handle_back, max(8, most // 16), IDLE_S, SUBMIT_S)
+    send, receive = trio.open_memory_channel[Term](1)
+    log.info("controller %s starts in %s", settings.member, settings.location or "no zone")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_listen, settings.bind, front, most)
+        nursery.start_soon(_listen, settings.back, back, most)
+        nursery.start_soon(controller.view.run)
+        nursery.start_soon(controller.view.run_reads)
+        nursery.start_soon(controller.leadership.run, send)
+        nursery.start_soon(controller.run_terms, receive)
+        nursery.start_soon(controller.run_types)
--- /dev/null
+++ b/ladderfield/state.py
@@ -0,0 +1,318 @@
+"""The state service: calls, and a full view of our keys that follows it by watch.
+
+All our keys share one prefix, so one watch carries every change, and "the watch has reached ledger N" proves that
+the view holds everything that was true when N was read. That proof is what lets any controller answer a user.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio
+
+from ladderfield.budget import Budget
+from ladderfield.http import Client, NoAnswer, decode_object
+from ladderfield.settings import Settings, address
+
+log = logging.getLogger(__name__)
+
+PREFIX = "lf/"
+NOWHERE = "lf-none/"  # no key ever has this prefix: listing it returns the ledger and nothing else
+
+
+class Unavailable(Exception):
+    """The state service did not carry the request out, or did not say that it has."""
+
+
+class Outcome:
+    """What became of a transaction: applied at ``ledger``, or the guards that failed."""
+
+    __slots__ = ("failed", "ledger")
+
+    def __init__(self, ledger: int, failed: list[str] | None) -> None:
+        self.ledger, self.failed = ledger, failed
+
+
+class StateClient:
+    """Calls to the state service within this controller's share of the limits."""
+
+    def __init__(self, settings: Settings) -> None:
+        limits, size = settings.cluster.state, settings.cluster.size
+        host, port = address(settings.outside.state)
+        self._client = Client(host, port)
+        self._watcher = Client(host, port, keep=1)
+        # Half of each limit is for the one foreman, the other half is shared by the front doors.
+        self.calls = Budget(limits.rps / (2 * size))
+        self.writes = Budget(limits.write_rps / (2 * size))
+        self.foreman_calls = Budget(limits.rps / 4)
+        self.foreman_writes = Budget(limits.write_rps * 0.45)
+        self.answered_at = -math.inf  # when the service last answered us with anything but trouble
+
+    async def _call(
+        self, method: str, target: str, body: Any, timeout: float, client: Client | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        client = client or self._client
+        try:
+            status, data = await client.call(method, target, body, timeout)
+            answer = decode_object(data) if data else {}
+        except NoAnswer as error:
+            client.drop()
+            raise Unavailable(str(error)) from None
+        if status == 429:
+            self.calls.drain()
+        if status >= 500 or status == 429:
+            raise Unavailable(f"{method} {target}: {status}")
+        self.answered_at = trio.current_time()
+        return status, answer
+
+    async def ledger(self, timeout: float) -> int:
+        """The present revision, read from the service now."""
+        status, answer = await self._call("GET", f"/keys?starts={NOWHERE}&limit=1", None, timeout)
+        ledger = answer.get("ledger")
+        if status != 200 or not isinstance(ledger, int):
+            raise Unavailable(f"no ledger: {status}")
+        return ledger
+
+    async def page(self, after: str, timeout: float) -> dict[str, Any]:
+        """One page of our keys."""
+        target = f"/keys?starts={PREFIX}&limit=1000" + (f"&after={after}" if after else "")
+        status, answer = await self._call("GET", target, None, timeout)
+        if status != 200 or not isinstance(answer.get("pairs"), list) or not isinstance(answer.get("ledger"), int):
+            raise Unavailable(f"no page: {status}")
+        return answer
+
+    async def stamp(self, key: str, timeout: float) -> int:
+        """A key's present version; 0 if it does not exist."""
+        status, answer = await self._call("GET", f"/keys/{key}", None, timeout)
+        stamp = 0 if status == 404 else answer.get("stamp")
+        if not isinstance(stamp, int):
+            raise Unavailable(f"no stamp: {status}")
+        return stamp
+
+    async def commit(
+        self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], timeout: float, hold: int | None = None,
+        held: str | None = None,
+    ) -> Outcome:
+        """One transaction; ``held`` names the put that is attached to lease ``hold``."""
+        apply: list[dict[str, Any]] = []
+        for key, value in puts.items():
+            put = {"put": key, "value": value}
+            if key == held:
+                put["hold"] = hold
+            apply.append(put)
+        apply += [{"delete": key} for key in deletes]
+        body = {"guards": [{"key": key, "stamp": stamp} for key, stamp in guards.items()], "apply": apply}
+        status, answer = await self._call("POST", "/multi", body, timeout)
+        ledger, failed = answer.get("ledger"), answer.get("failed")
+        if status == 200 and isinstance(ledger, int):
+            return Outcome(ledger, None)
+        if status == 409 and isinstance(failed, list) and isinstance(ledger, int):
+            return Outcome(ledger, [str(key) for key in failed])
+        raise Unavailable(f"commit: {status} {answer}")
+
+    async def grant(self, ttl_s: float, timeout: float) -> int:
+        """A new lease."""
+        status, answer = await self._call("POST", "/grants", {"ttlMs": round(ttl_s * 1000)}, timeout)
+        hold = answer.get("hold")
+        if status != 200 or not isinstance(hold, int):
+            raise Unavailable(f"no lease: {status}")
+        return hold
+
+    async def touch(self, hold: int, timeout: float) -> bool:
+        """Renew a lease; False if it has ended."""
+        status, _ = await self._call("POST", f"/grants/{hold}/touch", {}, timeout)
+        return status == 200
+
+    async def release(self, hold: int, timeout: float) -> None:
+        """End a lease at once."""
+        await self._call("DELETE", f"/grants/{hold}", None, timeout)
+
+    async def watch(self, after: int, wait_s: float) -> dict[str, Any] | None:
+        """Changes after a revision, or None if the service no longer keeps that far back."""
+        target = f"/watch?starts={PREFIX}&after={after}&waitMs={round(wait_s * 1000)}"
+        status, answer = await self._call("GET", target, None, wait_s * 2, self._watcher)
+        if status == 410:
+            return None
+        if status != 200 or not isinstance(answer.get("ledger"), int) or not isinstance(answer.get("events"), list):
+            raise Unavailable(f"watch: {status}")
+        return answer
+
+
+class Change:
+    """One key's change as the view saw it; ``value`` is None for a deletion."""
+
+    __slots__ = ("key", "stamp", "value")
+
+    def __init__(self, key: str, value: Any, stamp: int) -> None:
+        self.key, self.value, self.stamp = key, value, stamp
+
+
+class View:
+    """Everything we keep in the state service, as of ``ledger``.
+
+    Readers look at ``data``; those who need to act on changes take part in ``subscribe``. Only ``run`` changes it.
+    """
+
+    def __init__(self, client: StateClient, settings: Settings) -> None:
+        self.client = client
+        self.data: dict[str, tuple[Any, int]] = {}
+        self.ledger = -1
+        self.synced = False
+        self.calls_s = 1.0 / self.client.calls.rate
+        self._patience = settings.cluster.workers.report_s / 2
+        self._moved = trio.Event()
+        self._restart: trio.CancelScope | None = None
+        self._subscribers: list[trio.MemorySendChannel[list[Change]]] = []
+        self._wanted = trio.Event()
+        self._reading: _Read | None = None
+
+    def get(self, key: str) -> Any:
+        """A key's value, or None."""
+        found = self.data.get(key)
+        return None if found is None else found[0]
+
+    def stamp(self, key: str) -> int:
+        """A key's version, 0 if absent: what a guard wants."""
+        found = self.data.get(key)
+        return 0 if found is None else found[1]
+
+    def keys(self, prefix: str) -> list[str]:
+        """All keys under a prefix."""
+        return [key for key in self.data if key.startswith(prefix)]
+
+    @asynccontextmanager
+    async def subscribe(self) -> AsyncIterator[trio.MemoryReceiveChannel[list[Change]]]:
+        """Batches of changes from now on. A slow reader holds the view back instead of losing changes."""
+        send, receive = trio.open_memory_channel[list[Change]](16)
+        self._subscribers.append(send)
+        try:
+            yield receive
+        finally:
+            self._subscribers.remove(send)
+            receive.close()
+
+    async def run(self) -> None:
+        """Follow the service for ever."""
+        while True:
+            try:
+                await self._load()
+                while await self._follow():
+                    pass
+            except Unavailable as error:
+                log.info("the view waits: %s", error)
+                await trio.sleep(self._patience / 4)
+
+    async def _load(self) -> None:
+        """Read all keys. Changes made while paging come again by the watch, which starts at the first page."""
+        data: dict[str, tuple[Any, int]] = {}
+        after, first = "", None
+        while True:
+            page = await self.client.page(after, self._patience * 4)
+            first = page["ledger"] if first is None else first
+            for pair in page["pairs"]:
+                after = pair["key"]
+                data[after] = (pair.get("value"), pair["stamp"])
+            if not page.get("hasNext"):
+                break
+        changes = [Change(key, value, stamp) for key, (value, stamp) in data.items() if self.stamp(key) != stamp]
+        changes += [Change(key, None, first) for key in self.data if key not in data]
+        self.data = data
+        self.synced = True
+        await self._reached(first, changes)
+
+    async def _follow(self) -> bool:
+        """One watch; False when the view has to be read anew."""
+        try:
+            with trio.CancelScope() as scope:
+                self._restart = scope
+                answer = await self.client.watch(self.ledger, self._patience * 10)
+        except Unavailable as error:
+            log.debug("watch: %s", error)
+            await trio.sleep(self._patience / 4)
+            return True
+        finally:
+            self._restart = None
+        if scope.cancelled_caught:
+            return True
+        if answer is None:
+            return False
+        changes = []
+        for event in answer["events"]:
+            if "put" in event:
+                change = Change(event["put"], event.get("value"), event["stamp"])
+                self.data[change.key] = (change.value, change.stamp)
+            else:
+                change = Change(event["delete"], None, event["stamp"])
+                self.data.pop(change.key, None)
+            changes.append(change)
+        await self._reached(max(answer["ledger"], self.ledger), changes)
+        return True
+
+    async def _reached(self, ledger: int, changes: list[Change]) -> None:
+        self.ledger = ledger
+        self._moved.set()
+        self._moved = trio.Event()
+        if changes:
+            for subscriber in list(self._subscribers):
+                try:
+                    await subscriber.send(changes)
+                except trio.BrokenResourceError:
+                    continue
+
+    async def reach(self, ledger: int) -> None:
+        """Wait until the view holds everything up to a revision."""
+        while self.ledger < ledger:
+            with trio.move_on_after(self._patience):
+                while self.ledger < ledger:
+                    await self._moved.wait()
+            if self.ledger < ledger and self._restart is not None:
+                self._restart.cancel()  # the watch's connection may be dead without an error
+
+    async def fresh(self, timeout: float) -> bool:
+        """Wait until the view surely holds all that was true when this was called; False if that can't be shown.
+
+        All that ask while a read is under way share the next one: a burst of polls costs one read.
+        """
+        if not self.synced:
+            return False
+        read = self._reading
+        if read is None or read.started:
+            read = self._reading = _Read()
+            self._wanted.set()
+        with trio.move_on_after(timeout):
+            await read.answered.wait()
+            if read.ledger is None:
+                return False
+            await self.reach(read.ledger)
+            return True
+        return False
+
+    async def run_reads(self) -> None:
+        """Carry out the shared reads, one at a time."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            read = self._reading
+            if read is None or read.started:
+                continue
+            await self.client.calls.take()
+            read.started = True
+            try:
+                read.ledger = await self.client.ledger(self._patience)
+            except Unavailable as error:
+                log.debug("no fresh view: %s", error)
+            read.answered.set()
+
+
+class _Read:
+    """One shared read; those who came before it started may use it."""
+
+    __slots__ = ("answered", "ledger", "started")
+
+    def __init__(self) -> None:
+        self.started, self.ledger, self.answered = False, None, trio.Event()
+        self.ledger: int | None
--- /dev/null
+++ b/ladderfield/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers: their sessions, leases, reports and orders."""
--- /dev/null
+++ b/ladderfield/workers/machine.py
@@ -0,0 +1,111 @@
+"""One machine as the foreman knows it."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.queues.work import Claim, Job, TaskId
+
+SLACK = 1e-9
+CLOCKS = 1.002  # steady clocks drift apart by up to 0.05% each way; twice that, for rounding
+UNKNOWN = MachineType("", 0, 0, 0, 0, 0, 0, 0, 0, [])  # fits nothing: a machine known by name only
+
+
+class Machine:
+    """A rented machine, from its first sighting until it is surely gone."""
+
+    __slots__ = (
+        "answered_at", "blamed", "born_at", "cached", "claims", "cpus", "deleting", "doubts", "endpoint", "epoch",
+        "finished", "gpus", "heard_at", "hold_rank", "hold_until", "host", "idle_since", "kind", "listed", "memory_gb",
+        "queue", "recall_at", "seen", "sick", "spot", "tenure", "tick", "zone",
+    )
+
+    def __init__(self, host: str, endpoint: str, kind: MachineType, zone: str, spot: bool, now: float) -> None:
+        self.host, self.endpoint, self.kind, self.zone, self.spot = host, endpoint, kind, zone, spot
+        self.born_at = now
+        self.heard_at: float | None = None  # last report taken in, in this term
+        self.answered_at: float | None = None  # last report answered, in this term
+        self.tenure = self.tick = self.epoch = 0
+        self.recall_at: float | None = None
+        self.claims: dict[TaskId, Claim] = {}
+        self.seen: dict[TaskId, tuple[int, str]] = {}  # as last reported: attempt, phase
+        self.doubts: dict[int, int] = {}  # attempts of this session with so many unanswered launches by /orders
+        self.queue: dict[Job, deque[int]] = {}
+        self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb  # free
+        self.cached: dict[str, float] = {}  # images that ran here, oldest use first
+        self.finished = 0
+        self.blamed: set[str] = set()  # jobs whose tasks failed here since the last success
+        self.sick = self.deleting = False
+        self.hold_rank, self.hold_until = 0, -math.inf  # room being cleared for this rank or better
+        self.idle_since: float | None = now
+        self.listed: str | None = None
+
+    def allows(self, spec: JobSpec) -> bool:
+        """Whether type, zone and kind are allowed for the job."""
+        return (spec.spot or not self.spot) and spec.zone in (None, self.zone) and fits(spec, self.kind)
+
+    def has_room(self, spec: JobSpec) -> bool:
+        """Whether one more task fits beside the claims."""
+        return (
+            spec.cpus <= self.cpus + SLACK
+            and spec.memory_gb <= self.memory_gb + SLACK
+            and spec.gpus <= self.gpus + SLACK
+        )
+
+    def take(self, claim: Claim) -> None:
+        """Bind room for a claim."""
+        spec = claim.job.spec
+        self.claims[claim.task] = claim
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.memory_gb -= spec.memory_gb
+        self.idle_since = None
+
+    def free(self, claim: Claim, now: float) -> None:
+        """Give the room back."""
+        spec = claim.job.spec
+        del self.claims[claim.task]
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+        if not self.claims:
+            self.cpus, self.gpus, self.memory_gb = self.kind.cpus, self.kind.gpus, self.kind.memory_gb
+            self.idle_since = now
+
+    def use_image(self, image: str, size_gb: float) -> None:
+        """The machine has fetched or used an image; the least recently used make room."""
+        self.cached.pop(image, None)
+        self.cached[image] = size_gb
+        while len(self.cached) > 1 and sum(self.cached.values()) > self.kind.cache_gb:
+            del self.cached[next(iter(self.cached))]
+
+    def usable(self, now: float, silence_s: float) -> bool:
+        """Whether new work may be given to it."""
+        return (
+            self.heard_at is not None
+            and now - self.heard_at <= silence_s
+            and self.recall_at is None
+            and not (self.deleting or self.sick)
+        )
+
+    def lease_over_at(self, epoch: int, term_from: float, grace_s: float, lease_s: float) -> float:
+        """When its lease is surely over.
+
+        It runs from our last answer. Until the machine has accepted our epoch, an earlier foreman may be answering
+        it as well, for as long as its grace lasts.
+        """
+        last = term_from if self.answered_at is None else self.answered_at
+        if self.epoch != epoch:
+            last = max(last, term_from + grace_s)
+        return last + lease_s * CLOCKS
+
+    def learn(self, endpoint: str, kind: MachineType, zone: str, spot: bool) -> None:
+        """The list or a report told what was only a name on a claim so far."""
+        self.endpoint, self.zone, self.spot = endpoint or self.endpoint, zone, spot
+        if kind.name != self.kind.name:
+            self.cpus += kind.cpus - self.kind.cpus
+            self.gpus += kind.gpus - self.kind.gpus
+            self.memory_gb += kind.memory_gb - self.kind.memory_gb
+            self.kind = kind
