--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -187,7 +187,8 @@
     def _fill(self, machine: Machine, machines: list[Machine], tier: set[Job], score: int, now: float) -> int:
         made = 0
         while True:
-            jobs = {job for job in tier if job.queued and machine.has_room(job.spec)}
+            # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
+            jobs = {job for job in tier if job.queued and machine.has_room(job.spec) and self.teams.room(job.spec)}
             if not jobs:
                 return made
             pulled = self.queues.pull(machine, machines, jobs, score)
@@ -196,8 +197,6 @@
             job, index, owner = pulled
             self.claim(job, index, machine, owner, now)
             made += 1
-            if not self.teams.room(job.spec):
-                tier.discard(job)
 
     def preempt(self, now: float) -> None:
         """Clear room for a production replica that no machine has room for; only lower ranks give way."""
