Scripted peers and cluster tests; count a lease from when the machine was last heard

Cause, found by the silent machine's test: a machine booted in this term and so far heard only by its answer to /orders had its lease counted from the term's begin, so its claims ended while its task ran.

--- a/ladderfield/fleet/cloud.py
+++ b/ladderfield/fleet/cloud.py
@@ -49,7 +49,7 @@
             status, data = await self._client.call(method, target, body, CALL_S)
             answer = decode_object(data) if data else {}
         except NoAnswer as error:
-            self._client.drop()
+            await self._client.drop()
             raise CloudTrouble(str(error)) from None
         if status == 429:
             self.budget.drain()
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -356,7 +356,9 @@
                 report = parse_report(data)
         except (NoAnswer, ValueError) as error:
             log.debug("machine %s: no answer to orders: %s", host, error)
-            self._clients.pop(host, None)
+            stale = self._clients.pop(host, None)
+            if stale is not None:
+                await stale.drop()
         await self.send.send(Pushed(host, attempts, executed, report))
 
     async def _lister(self) -> None:
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -89,9 +89,7 @@
         # drops late answers, so that answer is lost; nothing else can bring this attempt to life but a new launch.
         claim.sent_tenure = None
         claim.inherited = False
-        if claim.stopping is not None:
-            return True
-        return False
+        return claim.stopping is not None
 
     def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
         desk, job = self.desk, claim.job
--- a/ladderfield/http.py
+++ b/ladderfield/http.py
@@ -53,7 +53,7 @@
         self.handler, self.most, self.request_s, self.idle_s = handler, most, request_s, idle_s
         self.open = 0
 
-    async def __call__(self, stream: trio.SocketStream) -> None:
+    async def __call__(self, stream: trio.abc.Stream) -> None:
         """Serve one connection to its end; no peer's behaviour may end more than its own connection."""
         self.open += 1
         try:
@@ -64,7 +64,7 @@
         finally:
             self.open -= 1
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: trio.abc.Stream) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
         while True:
             try:
@@ -89,7 +89,7 @@
                 return
             connection.start_next_cycle()
 
-    async def _receive(self, connection: h11.Connection, stream: trio.SocketStream) -> Request | None:
+    async def _receive(self, connection: h11.Connection, stream: trio.abc.Stream) -> Request | None:
         """The next whole request, or None when the peer is gone, silent for long or too slow."""
         head: h11.Request | None = None
         body = bytearray()
@@ -123,7 +123,7 @@
             else:
                 return None
 
-    async def _send(self, connection: h11.Connection, stream: trio.SocketStream, reply: Reply) -> None:
+    async def _send(self, connection: h11.Connection, stream: trio.abc.Stream, reply: Reply) -> None:
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(reply.body)))]
         if reply.retry_after is not None:
             headers.append(("Retry-After", str(reply.retry_after)))
@@ -142,7 +142,7 @@
     """No usable answer came: the request may have been carried out, or may still be."""
 
 
-async def connect(host: str, port: int) -> trio.SocketStream:
+async def connect(host: str, port: int) -> trio.abc.Stream:
     """A TCP connection to a numeric address."""
     socket = trio.socket.socket()
     try:
@@ -158,7 +158,7 @@
 
     def __init__(self, host: str, port: int, keep: int = 4, limit: int = 64 * 1024 * 1024) -> None:
         self.host, self.port, self.keep, self.limit = host, port, keep, limit
-        self._idle: list[tuple[trio.SocketStream, h11.Connection]] = []
+        self._idle: list[tuple[trio.abc.Stream, h11.Connection]] = []
         self._origin = f"{host}:{port}"
 
     async def call(self, method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
@@ -215,11 +215,10 @@
             if not done:
                 await trio.aclose_forcefully(stream)
 
-    def drop(self) -> None:
+    async def drop(self) -> None:
         """Close the kept connections (after a failure they are suspect)."""
-        for stream, _ in self._idle:
-            stream.socket.close()
-        self._idle.clear()
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop()[0])
 
 
 def decode_object(body: bytes) -> dict[str, Any]:
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -45,7 +45,7 @@
     return kind, status, length
 
 
-async def _exactly(stream: trio.SocketStream, size: int) -> bytes:
+async def _exactly(stream: trio.abc.Stream, size: int) -> bytes:
     parts = bytearray()
     while len(parts) < size:
         data = await stream.receive_some(size - len(parts))
@@ -55,7 +55,7 @@
     return bytes(parts)
 
 
-async def read(stream: trio.SocketStream) -> tuple[int, int, bytes]:
+async def read(stream: trio.abc.Stream) -> tuple[int, int, bytes]:
     """The next frame; EOFError when the other side is done."""
     kind, status, length = unpack_head(await _exactly(stream, HEAD.size))
     return kind, status, await _exactly(stream, length)
@@ -72,7 +72,7 @@
         self.open = 0
         self._warned = False
 
-    async def __call__(self, stream: trio.SocketStream) -> None:
+    async def __call__(self, stream: trio.abc.Stream) -> None:
         """Serve one connection; a malformed frame ends it, and is told once."""
         self.open += 1
         try:
@@ -101,7 +101,7 @@
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
         self._at = address(peer.endpoint)
-        self._idle: list[trio.SocketStream] = []
+        self._idle: list[trio.abc.Stream] = []
         self._busy = 0
 
     async def ask(self, kind: int, body: bytes, timeout: float) -> tuple[int, bytes] | None:
@@ -109,7 +109,7 @@
         if self._busy >= AT_ONCE:
             return None
         self._busy += 1
-        stream: trio.SocketStream | None = None
+        stream: trio.abc.Stream | None = None
         whole = False
         try:
             with trio.fail_after(timeout):
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -76,7 +76,18 @@
             await trio.sleep(pause / 4 if self.view.get(TYPES) is None else pause)
 
 
-async def _listen(text: str, serve: Callable[[trio.SocketStream], Awaitable[None]], most: int) -> None:
+    async def run(self) -> None:
+        """Everything but the listeners."""
+        send, receive = trio.open_memory_channel[Term](1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.view.run)
+            nursery.start_soon(self.view.run_reads)
+            nursery.start_soon(self.leadership.run, send)
+            nursery.start_soon(self.run_terms, receive)
+            nursery.start_soon(self.run_types)
+
+
+async def _listen(text: str, serve: Callable[[trio.abc.Stream], Awaitable[None]], most: int) -> None:
     host, port = address(text)
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=min(most, 512))
     await trio.serve_listeners(serve, listeners)
@@ -88,13 +99,8 @@
     most = settings.cluster.quota.max_connections
     front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
     back = BackServer(controller.handle_back, max(8, most // 16), IDLE_S, SUBMIT_S)
-    send, receive = trio.open_memory_channel[Term](1)
     log.info("controller %s starts in %s", settings.member, settings.location or "no zone")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_listen, settings.bind, front, most)
         nursery.start_soon(_listen, settings.back, back, most)
-        nursery.start_soon(controller.view.run)
-        nursery.start_soon(controller.view.run_reads)
-        nursery.start_soon(controller.leadership.run, send)
-        nursery.start_soon(controller.run_terms, receive)
-        nursery.start_soon(controller.run_types)
+        nursery.start_soon(controller.run)
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -60,7 +60,7 @@
             status, data = await client.call(method, target, body, timeout)
             answer = decode_object(data) if data else {}
         except NoAnswer as error:
-            client.drop()
+            await client.drop()
             raise Unavailable(str(error)) from None
         if status == 429:
             self.calls.drain()
@@ -127,10 +127,6 @@
         status, _ = await self._call("POST", f"/grants/{hold}/touch", {}, timeout)
         return status == 200
 
-    async def release(self, hold: int, timeout: float) -> None:
-        """End a lease at once."""
-        await self._call("DELETE", f"/grants/{hold}", None, timeout)
-
     async def watch(self, after: int, wait_s: float) -> dict[str, Any] | None:
         """Changes after a revision, or None if the service no longer keeps that far back."""
         target = f"/watch?starts={PREFIX}&after={after}&waitMs={round(wait_s * 1000)}"
@@ -162,7 +158,6 @@
         self.data: dict[str, tuple[Any, int]] = {}
         self.ledger = -1
         self.synced = False
-        self.calls_s = 1.0 / self.client.calls.rate
         self._patience = settings.cluster.workers.report_s / 2
         self._moved = trio.Event()
         self._restart: trio.CancelScope | None = None
--- /dev/null
+++ b/ladderfield/test_cluster.py
@@ -0,0 +1,420 @@
+"""Three controllers, scripted state service, cloud and workers: the protocol's rules under failures.
+
+After every step of every story ``Cluster.check`` looks at all workers at once for the rules that only the whole
+shows: no task on two machines, no team over its limit, nothing of a cancelled job left.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from ladderfield.http import Client, Server
+from ladderfield.peers import BackServer
+from ladderfield.server import Controller
+from ladderfield.testing import CloudService, Net, StateService, Worker, job, settings
+
+
+class Cluster:
+    """The whole, with levers for what goes wrong."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.net = Net(nursery)
+        self.state = StateService()
+        self.cloud = CloudService(self._boot)
+        self.scopes: dict[int, trio.CancelScope] = {}
+        self.controllers: dict[int, Controller] = {}
+        self.net.http("10.2.0.1:23", self.state)
+        self.net.http("10.2.0.2:84", self.cloud)
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.limit = 16.0
+        nursery.start_soon(self.state.run)
+        nursery.start_soon(self._watch_rules)
+
+    def _boot(self, host: str, hire: dict[str, Any]) -> Worker:
+        at = f"10.9.0.{len(self.cloud.workers)}"
+        nodes = [f"10.0.0.{n + 1}:80" for n in range(3)]
+        worker = Worker(host, at, self.net, nodes, yard=hire["yard"], loaners=hire["loaners"])
+        worker.endless = lambda uid: self.jobs[uid]["shape"] == "daemon"
+        self.net.http(f"{at}:90", worker)
+        self.nursery.start_soon(worker.run)
+        return worker
+
+    def start(self, number: int) -> None:
+        """Start a controller's process."""
+        self.nursery.start_soon(self._run, number)
+
+    async def _run(self, number: int) -> None:
+        own = settings(number)
+        with trio.CancelScope() as scope:
+            self.scopes[number] = scope
+            controller = self.controllers[number] = Controller(own)
+            self.net.listen(own.bind, Server(controller.handle, 500, 5.0, 60.0))
+            self.net.listen(own.back, BackServer(controller.handle_back, 20, 60.0, 5.0))
+            await controller.run()
+
+    def crash(self, number: int) -> None:
+        """End a controller's process with no warning."""
+        own = settings(number)
+        for text in (own.bind, own.back):
+            host, _, port = text.partition(":")
+            self.net.serving.pop((host, int(port)), None)
+        self.scopes[number].cancel()
+        del self.controllers[number]
+
+    def foreman(self) -> int:
+        """Which controller takes reports now."""
+        holders = [n for n, one in self.controllers.items() if one.reports.inbox is not None]
+        assert holders, "no foreman"
+        return max(holders, key=lambda n: self.controllers[n].leadership.term.epoch)  # type: ignore[union-attr]
+
+    async def call(self, node: int, method: str, path: str, body: Any = None) -> tuple[int, dict[str, Any]]:
+        """A user's request."""
+        client = Client(f"10.0.0.{node + 1}", 80, keep=0)
+        status, data = await client.call(method, path, body, 5.0)
+        return status, msgspec.json.decode(data)
+
+    async def submit(self, node: int = 0, **changes: Any) -> str:
+        """Submit a job that has to be accepted."""
+        spec = job(**changes)
+        self.jobs[spec["uid"]] = spec
+        status, _ = await self.call(node, "POST", "/api/jobs", spec)
+        assert status == 201
+        return spec["uid"]
+
+    async def phase(self, node: int, uid: str) -> str:
+        """What a poll says."""
+        status, answer = await self.call(node, "GET", f"/api/jobs/{uid}")
+        return answer["phase"] if status == 200 else str(status)
+
+    async def until(self, node: int, uid: str, phase: str, within: float) -> float:
+        """Poll until a phase shows; how long it took."""
+        begin = trio.current_time()
+        while await self.phase(node, uid) != phase:
+            assert trio.current_time() - begin < within, f"{uid} is not {phase} after {within} s"
+            await trio.sleep(0.5)
+        return trio.current_time() - begin
+
+    def on(self) -> Counter[str]:
+        """Tasks on all machines that exist."""
+        return Counter(name for worker in self.cloud.workers.values() if not worker.dead for name in worker.on())
+
+    async def busy(self, uid: str) -> Worker:
+        """A worker that runs a task of the job, as soon as there is one."""
+        for _ in range(200):
+            for worker in self.cloud.workers.values():
+                if any(name.startswith(f"{uid}/") for name in worker.on()):
+                    return worker
+            await trio.sleep(0.1)
+        raise AssertionError(f"{uid} never ran")
+
+    def starts(self, uid: str) -> list[tuple[float, str, int]]:
+        """All starts of a job's tasks."""
+        logs = [entry for worker in self.cloud.workers.values() for entry in worker.log]
+        return sorted(entry for entry in logs if entry[1].startswith(f"{uid}/"))
+
+    async def _watch_rules(self) -> None:
+        while True:
+            await trio.sleep(0.1)
+            on = self.on()
+            assert all(count == 1 for count in on.values()), f"ran_twice: {on}"
+            used = sum(self.jobs[n.split("/")[0]]["cores"] for n in on if self.jobs[n.split("/")[0]]["owner"] == "red")
+            assert used <= self.limit, f"quota: {used}"
+
+
+@asynccontextmanager
+async def cluster(monkeypatch: pytest.MonkeyPatch, nodes: int = 3) -> AsyncIterator[Cluster]:
+    """A running cluster."""
+    async with trio.open_nursery() as nursery:
+        whole = Cluster(nursery)
+        monkeypatch.setattr("ladderfield.http.connect", whole.net.connect)
+        monkeypatch.setattr("ladderfield.peers.connect", whole.net.connect)
+        for number in range(nodes):
+            whole.start(number)
+        await trio.sleep(3)
+        yield whole
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_job_runs_and_every_controller_tells_the_same(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(1, rungs=5)
+        await whole.until(2, uid, "running", 20)
+        await whole.until(0, uid, "done", 40)
+        assert [await whole.phase(node, uid) for node in range(3)] == ["done"] * 3
+        assert sorted(name for _, name, _ in whole.starts(uid)) == [f"{uid}/{n}" for n in range(5)]
+        status, answer = await whole.call(1, "POST", "/api/jobs", whole.jobs[uid])
+        assert (status, answer["phase"]) == (200, "done")
+        assert not [key for key in whole.state.keys if key.startswith(("lf/j/", "lf/b/"))]
+
+
+async def test_idle_machines_are_returned(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit()
+        await whole.until(0, uid, "done", 40)
+        await trio.sleep(40)
+        assert whole.cloud.hosts == {}
+
+
+async def test_done_only_when_the_last_task_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(rungs=4)
+        slow = await whole.busy(uid)
+        for name in slow.on():
+            slow.ends[name] = trio.current_time() + 60
+        await trio.sleep(30)
+        assert await whole.phase(1, uid) == "running"
+        await whole.until(1, uid, "done", 40)
+
+
+async def test_unknown_jobs_are_404_and_not_invented(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        assert await whole.phase(0, "req-999999") == "404"
+        assert await whole.phase(0, "nonsense") == "404"
+        status, _ = await whole.call(0, "POST", "/api/jobs/req-999999/cancel")
+        assert status == 404
+
+
+async def test_without_a_provably_fresh_view_only_final_states_are_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        over = await whole.submit(uid="req-000001")
+        await whole.until(0, over, "done", 40)
+        live = await whole.submit(uid="req-000002", rungs=3, shape="daemon")
+        whole.state.down = True
+        assert await whole.phase(1, over) == "done"
+        assert await whole.phase(1, live) == "503"
+        assert await whole.phase(1, "req-000003") == "503"
+
+
+async def test_a_stale_view_is_not_answered_from(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        whole.state.watch_lag = 0.5
+        uid = await whole.submit(0, shape="daemon", rungs=1)
+        assert await whole.phase(1, uid) in ("queued", "running")
+        await whole.call(0, "POST", f"/api/jobs/{uid}/cancel")
+        assert await whole.phase(1, uid) == "cancelled"
+
+
+async def test_cancel_is_durable_and_takes_all_tasks_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=4)
+        await whole.busy(uid)
+        status, answer = await whole.call(2, "POST", f"/api/jobs/{uid}/cancel")
+        assert (status, answer["phase"]) == (200, "cancelled")
+        whole.crash(whole.foreman())
+        await trio.sleep(10)
+        left = next(iter(whole.controllers))
+        assert await whole.phase(left, uid) == "cancelled"
+        assert not whole.on()
+        status, answer = await whole.call(left, "POST", f"/api/jobs/{uid}/cancel")
+        assert answer["phase"] == "cancelled"
+
+
+async def test_cancel_of_a_task_on_an_unreachable_machine_deletes_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1)
+        worker = await whole.busy(uid)
+        worker.obey = lambda epoch, orders: True  # type: ignore[method-assign]  # answers, but does nothing
+        await whole.call(0, "POST", f"/api/jobs/{uid}/cancel")
+        await trio.sleep(29)
+        assert not whole.on()
+
+
+async def test_a_crashed_foreman_is_followed_and_nothing_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(rungs=16, cores=2.0)
+        await whole.busy(uid)
+        first = whole.foreman()
+        whole.crash(first)
+        await trio.sleep(8)
+        assert whole.foreman() != first
+        left = next(iter(whole.controllers))
+        await whole.until(left, uid, "done", 60)
+        assert len(whole.starts(uid)) == 16
+
+
+async def test_all_controllers_crash_and_the_job_still_finishes(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(rungs=12)
+        await whole.busy(uid)
+        for number in range(3):
+            whole.crash(number)
+        await trio.sleep(3)
+        for number in range(3):
+            whole.start(number)
+        await trio.sleep(3)
+        await whole.until(1, uid, "done", 80)
+        assert len(whole.starts(uid)) == 12
+
+
+async def test_a_silent_machine_keeps_its_claims_until_surely_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Cut from everybody while the cloud is down too: only the lease can tell, and a takeover resets it."""
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1)
+        worker = await whole.busy(uid)
+        whole.cloud.down = True
+        whole.net.cut.add(worker.address)
+        await trio.sleep(6)
+        whole.crash(whole.foreman())
+        await trio.sleep(20)
+        assert len(whole.starts(uid)) == 1
+        whole.cloud.down = False
+        await trio.sleep(40)
+        print({w.about["host"]: (w.tenure, w.tick, w.epoch, w.dead) for w in whole.cloud.workers.values()})
+        assert len(whole.starts(uid)) == 2
+
+
+async def test_a_late_copy_of_a_launch_starts_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        warm = await whole.submit(uid="req-000001", rungs=1, loaners=False)
+        worker = await whole.busy(warm)
+        worker.hold = True
+        uid = await whole.submit(uid="req-000002", rungs=1, loaners=False)
+        await whole.until(0, uid, "done", 40)
+        assert worker.held, "the launch went out by /orders"
+        await trio.sleep(2)
+        for body in worker.held:
+            worker.late(body)
+        assert len(whole.starts(uid)) == 1
+
+
+async def test_orders_of_a_deposed_foreman_are_not_obeyed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=2)
+        await whole.busy(uid)
+        old = whole.controllers[whole.foreman()].leadership.term
+        assert old is not None
+        whole.crash(whole.foreman())
+        await trio.sleep(8)
+        for worker in whole.cloud.workers.values():
+            assert not worker.late({"epoch": old.epoch, "tenure": worker.tenure, "orders": []})
+
+
+async def test_an_outage_of_the_state_service_kills_no_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=2)
+        await whole.busy(uid)
+        epoch = whole.controllers[whole.foreman()].leadership.term.epoch  # type: ignore[union-attr]
+        whole.state.down = True
+        await trio.sleep(25)
+        assert sum(whole.on().values()) == 2
+        status, _ = await whole.call(0, "POST", "/api/jobs", job("req-000009"))
+        assert status == 503
+        whole.state.down = False
+        await trio.sleep(5)
+        assert len(whole.starts(uid)) == 2
+        assert whole.controllers[whole.foreman()].leadership.term.epoch == epoch  # type: ignore[union-attr]
+
+
+async def test_a_foreman_alone_without_the_state_service_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=2)
+        await whole.busy(uid)
+        first = whole.foreman()
+        alone = whole.controllers[first]
+
+        async def unavailable(*_: Any, **__: Any) -> tuple[int, bytes]:
+            await trio.sleep(0.01)
+            return 503, b"{}"
+
+        alone.client._client.call = unavailable  # type: ignore[method-assign]
+        await trio.sleep(15)
+        assert whole.foreman() != first
+        assert alone.leadership.term is None
+        assert len(whole.starts(uid)) == 2
+        assert sum(whole.on().values()) == 2
+
+
+async def test_an_unanswered_write_is_repeated_and_does_no_harm(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        whole.state.lose_answers = 1
+        spec = job(rungs=3)
+        whole.jobs[spec["uid"]] = spec
+        status, _ = await whole.call(0, "POST", "/api/jobs", spec)
+        assert status in (200, 201)
+        uid = spec["uid"]
+        whole.state.lose_answers = 2
+        await whole.until(0, uid, "done", 60)
+        assert len(whole.starts(uid)) == 3
+
+
+async def test_a_worker_cut_from_the_foreman_is_relayed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1)
+        worker = await whole.busy(uid)
+        foreman = whole.foreman()
+
+        real_call = Client.call
+
+        async def call(self: Client, method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
+            if target == "/v1/report" and self.host == f"10.0.0.{foreman + 1}":
+                raise OSError("cut")
+            if target == "/orders":
+                await trio.sleep(timeout)
+                raise OSError("cut")
+            return await real_call(self, method, target, body, timeout)
+
+        monkeypatch.setattr(Client, "call", call)
+        await trio.sleep(40)
+        assert worker.tenure == 1
+        assert len(whole.starts(uid)) == 1
+
+
+async def test_a_machine_that_fails_everything_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        first = await whole.submit(uid="req-000001", rungs=1)
+        bad = await whole.busy(first)
+        bad.fail = {f"req-{n:06d}" for n in range(10)}
+        for number in range(2, 6):
+            await whole.submit(uid=f"req-{number:06d}", rungs=2)
+        for number in range(1, 6):
+            await whole.until(0, f"req-{number:06d}", "done", 120)
+        assert bad.dead
+
+
+async def test_a_job_that_fails_everywhere_costs_no_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        good = await whole.submit(uid="req-000001", shape="daemon", rungs=3, cores=4.0)
+        await whole.busy(good)
+        bad = await whole.submit(uid="req-000002", rungs=1)
+        for worker in whole.cloud.workers.values():
+            worker.fail = {bad}
+        whole.cloud.boot = lambda host, hire: _failing(whole, host, hire, bad)
+        await trio.sleep(120)
+        assert 2 <= len(whole.starts(bad)) < 25, "retried, with growing pauses"
+        assert len(whole.starts(good)) == 3
+        assert await whole.phase(0, bad) in ("queued", "running")
+
+
+def _failing(whole: Cluster, host: str, hire: dict[str, Any], uid: str) -> Worker:
+    worker = whole._boot(host, hire)
+    worker.fail = {uid}
+    return worker
+
+
+async def test_unexpected_machines_are_used_or_returned(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        hire = {"hire": "late", "flavour": "m4", "yard": "za", "loaners": False, "howMany": 2}
+        client = Client("10.2.0.2", 84)
+        await client.call("POST", "/machines", hire, 5.0)
+        await trio.sleep(40)
+        assert whole.cloud.hosts == {}
+
+
+async def test_a_cloud_outage_does_not_stop_intake(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        whole.cloud.down = True
+        whole.crash(0)
+        whole.start(0)
+        await trio.sleep(3)
+        uid = await whole.submit(0)
+        assert await whole.phase(1, uid) == "queued"
+        whole.cloud.down = False
+        await whole.until(1, uid, "done", 60)
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -93,10 +93,10 @@
     def lease_over_at(self, epoch: int, term_from: float, grace_s: float, lease_s: float) -> float:
         """When its lease is surely over.
 
-        It runs from our last answer. Until the machine has accepted our epoch, an earlier foreman may be answering
-        it as well, for as long as its grace lasts.
+        It runs from our last answer, or from the session's begin, which came before we last heard of it. Until
+        the machine has accepted our epoch, an earlier foreman may be answering it as well, as long as its grace lasts.
         """
-        last = term_from if self.answered_at is None else self.answered_at
+        last = max(term_from, self.answered_at or term_from, self.heard_at or term_from)
         if self.epoch != epoch:
             last = max(last, term_from + grace_s)
         return last + lease_s * CLOCKS
