--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -1,7 +1,8 @@
 """What to rent and what to return; a pure decision over the foreman's tables.
 
-Demand is the tasks that no room of a live or booting machine is left for. It is filled with the cheapest kind
-that the job allows and the cloud did not just refuse, spot first where allowed.
+Services get room of their own, and some is kept for those that will come while a machine boots. Array work is
+seen as a stream: machines are rented until what waits and runs flows off within a horizon, a short one for spot
+machines, a long one (as long as the jobs may wait) for dear ones. The same horizons say what may be returned.
 """
 
 from __future__ import annotations
@@ -10,13 +11,17 @@
 from dataclasses import dataclass
 
 from ladderfield.foreman.desk import Desk
-from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.jobs.model import PRODUCTION, JobSpec, MachineType, fits
 from ladderfield.queues.work import Job
 from ladderfield.workers.machine import SLACK, Machine
 
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again
-LINGER = 0.5  # of a type's boot time: how long a machine may idle before it is returned
-LINGER_LEAST = 2.0  # of report_s
+LINGER_SPOT = 0.5  # of a type's boot time: how long a machine may idle before it is returned
+LINGER_DEAR = 0.2
+HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
+LINGER_LEAST = 1.0  # of report_s
+PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
+SPARE = 1.0  # of the services expected to arrive while a machine boots: room kept ready
 
 Offer = tuple[str, str, bool]  # type, zone, spot
 
@@ -29,25 +34,52 @@
     count: int
 
 
-class _Room:
-    """Room on a machine, real or planned, as the plan fills it."""
+class Room:
+    """A machine, real or planned, as the plan fills it."""
 
-    __slots__ = ("cpus", "gpus", "kind", "memory_gb", "offer", "spot", "zone")
+    __slots__ = (
+        "cpus", "for_arrays", "gpus", "host", "idle", "kind", "lower", "memory_gb", "needed", "running", "spot", "zone",
+    )  # fmt: skip
 
-    def __init__(self, kind: MachineType, zone: str, spot: bool, machine: Machine | None = None) -> None:
-        self.kind, self.zone, self.spot = kind, zone, spot
+    def __init__(
+        self, machine: Machine | None, kind: MachineType | None = None, zone: str = "", spot: bool = False
+    ) -> None:
         source = machine or kind
+        assert source is not None
         self.cpus, self.gpus, self.memory_gb = source.cpus, source.gpus, source.memory_gb
+        self.host, self.needed = None, False
+        self.lower = [0.0, 0.0, 0.0]  # what tasks hold that would give way to a service
+        self.running = 0.0  # array work under way, in cpu-seconds
+        if machine is None:
+            assert kind is not None
+            self.kind, self.zone, self.spot = kind, zone, spot
+        else:
+            self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
+            for claim in machine.claims.values():
+                spec = claim.job.spec
+                if not spec.service:
+                    self.running += spec.cpus * spec.estimate_s / 2
+                    if spec.rank != PRODUCTION:
+                        self.lower = [a + b for a, b in zip(self.lower, (spec.cpus, spec.gpus, spec.memory_gb), strict=True)]
+        self.for_arrays = self.cpus + self.lower[0]
+        self.idle = machine is not None and not machine.claims
 
     def allows(self, spec: JobSpec) -> bool:
+        """Whether the job may use this machine."""
         return (spec.spot or not self.spot) and spec.zone in (None, self.zone) and fits(spec, self.kind)
 
-    def place(self, spec: JobSpec, count: int) -> int:
-        """Fill with up to so many tasks; how many fit."""
-        placed = min(count, slots(spec, self.cpus, self.gpus, self.memory_gb))
+    def place(self, spec: JobSpec, count: int, free_only: bool = False) -> int:
+        """Fill with up to so many tasks; how many fit. Services may push lower ranks out."""
+        lower = [0.0, 0.0, 0.0] if free_only else self.lower
+        room = (self.cpus + lower[0], self.gpus + lower[1], self.memory_gb + lower[2])
+        placed = min(count, slots(spec, *room))
         self.cpus -= placed * spec.cpus
         self.gpus -= placed * spec.gpus
         self.memory_gb -= placed * spec.memory_gb
+        if placed:
+            self.needed = True
+            if not free_only:
+                self.for_arrays -= placed * spec.cpus
         return placed
 
 
@@ -66,6 +98,7 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.refused: dict[Offer, float] = {}
+        self.keep: set[str] = set()  # machines that the last plan needs though they are idle
 
     def refuse(self, offer: Offer, now: float) -> None:
         """The cloud had none of these."""
@@ -75,59 +108,82 @@
         """What to ask for now, given what is up and under way."""
         desk = self.desk
         rooms = [
-            _Room(machine.kind, machine.zone, machine.spot, machine)
+            Room(machine)
             for machine in desk.machines.values()
-            if not (machine.deleting or machine.sick) and machine.recall_at is None
+            if not (machine.deleting or machine.sick) and machine.recall_at is None and machine.kind.cpus
         ]
         planned: dict[Offer, int] = {}
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
-        jobs.sort(key=lambda job: (job.order, job.at))
-        for job in jobs:
-            need = min(job.waiting, desk.teams.room(job.spec))
-            need = self._place(job, rooms, need)
-            need = self._worth(job, need, now)
-            while need > 0:
-                offer = self._best(job, need, now)
-                if offer is None:
-                    break
-                room = _Room(desk.types[offer[0]], offer[1], offer[2])
-                placed = room.place(job.spec, need)
-                if placed <= 0:
-                    break
-                need -= placed
-                rooms.append(room)
-                planned[offer] = planned.get(offer, 0) + 1
+        jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
+        self._services([job for job in jobs if job.spec.service], rooms, planned, now)
+        self._arrays([job for job in jobs if not job.spec.service], rooms, planned, now)
+        self.keep = {room.host for room in rooms if room.host and room.needed}
         return [Rental(offer, count) for offer, count in planned.items()]
 
-    def _place(self, job: Job, rooms: list[_Room], need: int) -> int:
-        for room in rooms:
-            if need <= 0:
+    def _services(self, jobs: list[Job], rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+        """Every waiting replica gets room, if need be in place of lower ranks; and so do those soon to come."""
+        desk = self.desk
+        for job in jobs:
+            self._give(job.spec, min(job.waiting, desk.teams.room(job.spec)), rooms, planned, now)
+        for job_class, spec in desk.outlook.latest.items():
+            boot = min((kind.boot_s for kind in desk.types.values() if fits(spec, kind)), default=0.0)
+            spare = math.ceil(SPARE * boot * desk.outlook.rate(job_class, now) * spec.tasks)
+            self._give(spec, spare, rooms, planned, now)
+
+    def _give(self, spec: JobSpec, need: int, rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+        for room in sorted(rooms, key=lambda one: (one.idle, one.cpus)):
+            if need > 0 and room.allows(spec):
+                need -= room.place(spec, need)
+        while need > 0 and (offer := self._best(spec, need, (True, False), now)):
+            room = self._plan(offer, rooms, planned)
+            placed = room.place(spec, need)
+            if not placed:
                 break
-            if room.cpus > 0 and room.allows(job.spec):
-                need -= room.place(job.spec, need)
-        return need
-
-    def _worth(self, job: Job, need: int, now: float) -> int:
-        """How many more slots an array wants: few enough that each is used again before the job is due."""
-        if job.spec.service or need <= 0:
-            return need
-        run = max(job.run_s(), 1.0)
-        left = (job.spec.deadline_s or 0.0) + job.at - now
-        turns = max(1.0, left / (2 * run)) if job.spec.deadline_s else 1.0
-        return math.ceil(need / turns)
-
-    def _best(self, job: Job, need: int, now: float) -> Offer | None:
+            need -= placed
+
+    def _arrays(self, jobs: list[Job], rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+        desk = self.desk
+        load = sum(room.running for room in rooms)
+        for job in jobs:
+            spec, run = job.spec, desk.outlook.run_s(job)
+            tasks = min(job.waiting, desk.teams.room(spec))
+            load += tasks * spec.cpus * run
+            for room in rooms:
+                if tasks > 0 and room.allows(spec):
+                    tasks -= room.place(spec, tasks, free_only=True)
+            for spot in (True, False) if spec.spot else (False,):
+                while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)):
+                    kind = desk.types[offer[0]]
+                    horizon = HORIZON * kind.boot_s
+                    if not spot:
+                        horizon = max(horizon, PATIENCE * desk.outlook.slack(job, now))
+                    room_cpus = sum(room.for_arrays for room in rooms if room.allows(spec))
+                    if load <= horizon * room_cpus:
+                        break
+                    placed = self._plan(offer, rooms, planned).place(spec, tasks, free_only=True)
+                    if not placed:
+                        break
+                    tasks -= placed
+
+    def _plan(self, offer: Offer, rooms: list[Room], planned: dict[Offer, int]) -> Room:
+        room = Room(None, self.desk.types[offer[0]], offer[1], offer[2])
+        rooms.append(room)
+        planned[offer] = planned.get(offer, 0) + 1
+        return room
+
+    def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float) -> Offer | None:
+        """The cheapest offer per task that the job allows and the cloud did not just refuse."""
         best: tuple[float, Offer] | None = None
         for kind in self.desk.types.values():
-            if not fits(job.spec, kind):
+            if not fits(spec, kind):
                 continue
-            full = slots(job.spec, kind.cpus, kind.gpus, kind.memory_gb)
+            full = slots(spec, kind.cpus, kind.gpus, kind.memory_gb)
             for zone in kind.zones:
-                if job.spec.zone not in (None, zone):
+                if spec.zone not in (None, zone):
                     continue
-                for spot in (True, False) if job.spec.spot else (False,):
+                for spot in kinds:
                     offer = (kind.name, zone, spot)
-                    if self.refused.get(offer, -math.inf) > now:
+                    if (spot and not spec.spot) or self.refused.get(offer, -math.inf) > now:
                         continue
                     cost = (kind.spot_price if spot else kind.price) / max(1, min(full, need))
                     if best is None or (cost, offer) < best:
@@ -135,13 +191,13 @@
         return best[1] if best else None
 
     def returns(self, now: float) -> list[Machine]:
-        """Machines that have been idle for long enough."""
+        """Machines that have been idle for long enough and that nothing foreseen needs."""
         result = []
         for machine in self.desk.machines.values():
             if machine.deleting or machine.claims or machine.heard_at is None or machine.idle_since is None:
                 continue
-            linger = max(LINGER * machine.kind.boot_s, LINGER_LEAST * self.desk.report_s)
-            idle_from = max(machine.idle_since, machine.born_at)
-            if now - idle_from > linger:
+            ratio = LINGER_SPOT if machine.spot else LINGER_DEAR
+            linger = max(ratio * machine.kind.boot_s, LINGER_LEAST * self.desk.report_s)
+            if now - machine.idle_since > linger and machine.host not in self.keep:
                 result.append(machine)
         return result
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -12,9 +12,10 @@
 
 import msgspec
 
+from ladderfield.foreman.outlook import Outlook
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import BLOCK, CANCELLED, FINAL, JOB, TYPES, JobSpec, MachineType, parse_types
-from ladderfield.queues.pick import Queues, placeable, tiers, victims
+from ladderfield.queues.pick import Queues, locality, placeable, tiers, victims
 from ladderfield.queues.work import Claim, Job, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
@@ -51,6 +52,7 @@
         self.orphans: dict[str, int] = {}  # records of blocks whose job is over: to be deleted
         self.changed = True  # something since the last pass could let a task start
         self._attempts = 0
+        self.outlook = Outlook(settings)
         self.sessions = Sessions(self)
         self.push: Callable[[Machine], None] = lambda machine: None
 
@@ -85,6 +87,7 @@
     def _add_job(self, value: Any, stamp: int) -> None:
         spec = msgspec.convert(value["spec"], JobSpec)
         if spec.uid not in self.jobs:
+            self.outlook.arrived(spec, value["at"] - self.wall_offset)
             self.jobs[spec.uid] = Job(spec, value["at"] - self.wall_offset, value["block"], stamp)
             self.changed = True
 
@@ -167,12 +170,12 @@
                     pass
                 if job.undealt:
                     self.queues.deal(job, machines)
-        ready = tiers(self.jobs.values(), self.teams, now)
+        ready = tiers(self.jobs.values(), self.teams, lambda job: self.outlook.rating(job, now), now)
         if not ready:
             return 0
         free = [machine for machine in machines if machine.cpus > 0]
-        # Fuller machines ask first, so that the emptier ones run dry and can be returned.
-        free.sort(key=lambda one: (one.cpus / one.kind.cpus if one.kind.cpus else 1, one.host))
+        # Cheap machines ask first, then fuller ones, so that the dear and the empty run dry and can be returned.
+        free.sort(key=lambda one: (not one.spot, one.cpus / one.kind.cpus, one.host))
         for tier in ready:
             rank = next(iter(tier)).order[0]
             for score in (1, 0):
@@ -217,9 +220,11 @@
                     for claim in machine.claims.values()
                     if claim.job.order[0] > rank and claim.stopping is None
                 }
-                chosen = victims(machine, job, self.teams, lower)
+                chosen = victims(machine, job.spec, lower)
                 if chosen:
                     lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
+                    if not locality(job, machine):
+                        lost += job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
                     if best is None or (lost, machine.host) < best[:2]:
                         best = (lost, machine.host, chosen)
             if best is not None:
@@ -316,5 +321,5 @@
         for claim in list(machine.claims.values()):
             spec = claim.job.spec
             ran = now - (claim.running_at if claim.running_at is not None else now)
-            if spec.service or spec.checkpoint_s or claim.job.run_s() - ran > left:
+            if spec.service or spec.checkpoint_s or self.outlook.run_s(claim.job) - ran > left:
                 self.stop(claim, "the machine leaves", now)
--- /dev/null
+++ b/ladderfield/foreman/outlook.py
@@ -0,0 +1,79 @@
+"""What can be expected: run times, due times, and how many services will come while a machine boots."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict, deque
+
+from ladderfield.jobs.model import JobSpec
+from ladderfield.queues.work import Job
+from ladderfield.settings import Settings
+
+STEP = 8.0  # of report_s: due times closer together than this are equal, and the design's pick decides
+MEMORY = 60.0  # of report_s: how far back arrivals count
+LEARN = 0.1  # weight of a new run time in a class's bias
+
+
+class Outlook:
+    """Learns from what arrives and what finishes."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.report_s = settings.cluster.workers.report_s
+        self.bias: dict[str, float] = {}  # of a class: log of true over estimated run time
+        self.arrivals: dict[str, deque[float]] = defaultdict(deque)  # services by class
+        self.latest: dict[str, JobSpec] = {}  # of each class of services, the job seen last
+        self.aims: dict[str, list[float]] = defaultdict(list)  # of a class: times to be finished within
+        for objective in settings.cluster.objectives:
+            if objective.kind == "finished" and objective.job_class and objective.within_s:
+                self.aims[objective.job_class].append(objective.within_s)
+        self.beyond = sorted(
+            {one.times for one in settings.cluster.objectives if one.kind == "deadline" and one.times} | {1.0}
+        )
+
+    def arrived(self, spec: JobSpec, at: float) -> None:
+        """A job was accepted."""
+        if spec.service:
+            self.arrivals[spec.job_class].append(at)
+            self.latest[spec.job_class] = spec
+
+    def rate(self, job_class: str, now: float) -> float:
+        """Tasks of a class of services that arrive per second, as of late."""
+        times, span = self.arrivals[job_class], MEMORY * self.report_s
+        while times and times[0] < now - span:
+            times.popleft()
+        return len(times) / span
+
+    def finished(self, spec: JobSpec, run_s: float) -> None:
+        """A task ran for so long."""
+        if spec.estimate_s > 0 and run_s > 0:
+            error = math.log(run_s / spec.estimate_s)
+            before = self.bias.get(spec.job_class, 0.0)
+            self.bias[spec.job_class] = before + LEARN * (error - before)
+
+    def run_s(self, job: Job) -> float:
+        """A task's expected run time."""
+        return max(job.run_s(math.exp(self.bias.get(job.spec.job_class, 0.0))), self.report_s / 4)
+
+    def due(self, job: Job, now: float) -> float | None:
+        """When the job should be complete: the first of its aims that can still be met, None if there is none."""
+        earliest = now + self.run_s(job)
+        if job.spec.deadline_s is not None:
+            aims = [times * job.spec.deadline_s for times in self.beyond]
+        else:
+            aims = sorted(self.aims.get(job.spec.job_class, []))
+        for aim in aims:
+            if job.at + aim >= earliest:
+                return job.at + aim
+        return None
+
+    def rating(self, job: Job, now: float) -> tuple[bool, int]:
+        """For ordering: what can still be on time goes first, by due time; then the rest, by age."""
+        if job.spec.service:
+            return False, 0
+        due = self.due(job, now)
+        return due is None, int((job.at if due is None else due) / (STEP * self.report_s))
+
+    def slack(self, job: Job, now: float) -> float:
+        """How long the job's tasks may wait."""
+        due = self.due(job, now)
+        return 0.0 if due is None else max(0.0, due - now - self.run_s(job))
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -98,12 +98,14 @@
         if rung.phase != "exited":
             if rung.phase == "running" and claim.phase != "running":
                 claim.running_at = now
+                log.debug("task %s: attempt %d runs on %s", task_name(claim.task), claim.attempt, machine.host)
                 machine.use_image(job.spec.image, job.spec.image_gb)
             claim.phase = rung.phase
             return
         if rung.cause == "done":
             if claim.running_at is not None and len(job.finished_s) < 99:
                 job.finished_s.append(now - claim.running_at)
+                desk.outlook.finished(job.spec, now - claim.running_at)
             machine.finished += 1
             machine.blamed.clear()
             machine.use_image(job.spec.image, job.spec.image_gb)
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -125,7 +125,7 @@
             with trio.move_on_at(until):
                 await self.view.reach(outcome.ledger)
                 if outcome.failed is None:
-                    log.info("job %s: accepted from %s, %d tasks", uid, spec.team, spec.tasks)
+                    log.info("job %s: accepted, %s of %s, %d tasks", uid, spec.job_class, spec.team, spec.tasks)
                     return Reply(201, {"uid": uid, "phase": "queued"})
                 known = self._state(uid)
                 if known is not None:
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from ladderfield.jobs.model import JobSpec
 from ladderfield.queues.work import Claim, Job
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import Machine
@@ -117,18 +118,20 @@
     )
 
 
-def tiers(jobs: Iterable[Job], teams: Teams, now: float) -> list[set[Job]]:
-    """Jobs that may start tasks now, grouped in the order of guarantee and rank."""
+def tiers(jobs: Iterable[Job], teams: Teams, due: Callable[[Job], tuple[bool, int]], now: float) -> list[set[Job]]:
+    """Jobs that may start tasks now, grouped in the order of guarantee, rank and due time.
+
+    Due times are told apart only as finely as ``due`` does, so that within a group the design's pick decides.
+    """
     groups: dict[tuple, set[Job]] = {}
     for job in jobs:
         if job.queued and job.final is None and now >= job.not_before and teams.room(job.spec):
-            groups.setdefault((not teams.guaranteed(job.spec), *job.order), set()).add(job)
+            groups.setdefault((not teams.guaranteed(job.spec), *job.order, *due(job)), set()).add(job)
     return [groups[key] for key in sorted(groups)]
 
 
-def victims(machine: Machine, spec_job: Job, teams: Teams, preemptible: dict[Claim, float]) -> list[Claim] | None:
+def victims(machine: Machine, spec: JobSpec, preemptible: dict[Claim, float]) -> list[Claim] | None:
     """The claims to stop so that one task fits, losing the least work; None if that can't make room."""
-    spec = spec_job.spec
     cpus, gpus, memory = machine.cpus, machine.gpus, machine.memory_gb
     chosen: list[Claim] = []
     for claim in sorted(preemptible, key=lambda one: (-one.job.order[0], preemptible[one])):
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -161,11 +161,12 @@
         self.zones[claim.zone] -= 1
         block.touch()
 
-    def run_s(self) -> float:
-        """Expected run time of a task: the middle of what was seen, else the owner's estimate."""
+    def run_s(self, bias: float = 1.0) -> float:
+        """Expected run time of a task: the middle of what was seen, else the owner's estimate, set right by how
+        far off the estimates of its class were lately."""
         if self.finished_s:
             return sorted(self.finished_s)[len(self.finished_s) // 2]
-        return self.spec.estimate_s
+        return self.spec.estimate_s * bias
 
 
 def ranges(numbers: set[int]) -> list[list[int]]:
