Relay workers cut from the foreman at once; hold back deletions in a zone cut

Now a report that shows the foreman's own epoch is relayed the first time, also by way of a third controller, and machines that fall silent together in a zone get most of a lease before they are given up.

--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -15,7 +15,8 @@
 from ladderfield.queues.work import Job
 from ladderfield.workers.machine import SLACK, Machine
 
-REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again
+REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
+REFUSED_MOST = 20.0  # of report_s
 LINGER_SPOT = 0.5  # of a type's boot time: how long a machine may idle before it is returned
 LINGER_DEAR = 0.2
 HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
@@ -60,7 +61,8 @@
                 if not spec.service:
                     self.running += spec.cpus * spec.estimate_s / 2
                     if spec.rank != PRODUCTION:
-                        self.lower = [a + b for a, b in zip(self.lower, (spec.cpus, spec.gpus, spec.memory_gb), strict=True)]
+                        held = (spec.cpus, spec.gpus, spec.memory_gb)
+                        self.lower = [a + b for a, b in zip(self.lower, held, strict=True)]
         self.for_arrays = self.cpus + self.lower[0]
         self.idle = machine is not None and not machine.claims
 
@@ -97,12 +99,18 @@
 
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
-        self.refused: dict[Offer, float] = {}
+        self.refused: dict[Offer, tuple[float, float]] = {}  # until when, and the pause that led there
         self.keep: set[str] = set()  # machines that the last plan needs though they are idle
 
     def refuse(self, offer: Offer, now: float) -> None:
         """The cloud had none of these."""
-        self.refused[offer] = now + REFUSED * self.desk.report_s
+        pause = self.refused.get(offer, (0.0, REFUSED / 2 * self.desk.report_s))[1] * 2
+        pause = min(pause, REFUSED_MOST * self.desk.report_s)
+        self.refused[offer] = (now + pause, pause)
+
+    def freed(self, machine: Machine) -> None:
+        """One of these is gone, so there may be one to be had again."""
+        self.refused.pop((machine.kind.name, machine.zone, machine.spot), None)
 
     def rentals(self, now: float) -> list[Rental]:
         """What to ask for now, given what is up and under way."""
@@ -183,7 +191,7 @@
                     continue
                 for spot in kinds:
                     offer = (kind.name, zone, spot)
-                    if (spot and not spec.spot) or self.refused.get(offer, -math.inf) > now:
+                    if (spot and not spec.spot) or self.refused.get(offer, (-math.inf, 0.0))[0] > now:
                         continue
                     cost = (kind.spot_price if spot else kind.price) / max(1, min(full, need))
                     if best is None or (cost, offer) < best:
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -120,7 +122,7 @@
         self._to_push: set[str] = set()
         self._pushing: set[str] = set()
         self._writing = False
-        self._recorded_at = self._planned_at = -1e9
+        self._recorded_at = self._planned_at = -math.inf
         self._renting: dict[Offer, int] = {}
         self._hires = 0
         self._deleting: set[str] = set()
@@ -157,7 +159,7 @@
                 message.done.set()
 
     async def _loop(self) -> None:
-        handlers = {
+        handlers: dict[type, Callable[[Any, float], None]] = {
             Reported: self._on_report, Changed: self._on_changed, Committed: self._on_committed,
             Pushed: self._on_pushed, Seen: self._on_seen, Rented: self._on_rented, Deleted: self._on_deleted,
             Tick: self._on_tick,
@@ -266,6 +268,7 @@
         self._renting.pop(message.offer, None)
         if message.refused:
             self.planner.refuse(message.offer, now)
+            self._planned_at = -math.inf  # look for something else at once
         kind, zone, spot = message.offer
         for host in message.hosts:
             self.desk.sessions.machine(host, "", kind, zone, spot, now)
@@ -274,6 +277,8 @@
         self._deleting.difference_update(message.hosts)
         if message.sure:
             for host in message.hosts:
+                if host in self.desk.machines:
+                    self.planner.freed(self.desk.machines[host])
                 self.desk.forget(host, now)
                 self._clients.pop(host, None)
 
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -27,6 +27,7 @@
 # Ratios to the workers' pace.
 SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
 LOST = 3.0  # of report_s: given up, and deleted so that its claims end
+LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
 CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
@@ -270,6 +271,7 @@
     def sweep(self, now: float) -> list[str]:
         """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
         doomed = []
+        cut = self._cut_zones(now)
         for machine in self.machines.values():
             heard = machine.heard_at if machine.heard_at is not None else self.term_from
             silent = now - heard
@@ -283,7 +285,7 @@
             if machine.queue and not machine.usable(now, SILENT * self.report_s):
                 self.queues.withdraw(machine)
                 self.changed = True
-            why = self._doomed(machine, silent, now)
+            why = self._doomed(machine, silent, machine.zone in cut, now)
             if why and not machine.deleting:
                 log.warning("machine %s: to be deleted: %s", machine.host, why)
                 machine.deleting = True
@@ -297,11 +299,23 @@
                 self.changed = True
         return doomed
 
-    def _doomed(self, machine: Machine, silent: float, now: float) -> str | None:
+    def _cut_zones(self, now: float) -> set[str]:
+        """Zones where at least half of the machines, and more than one, are silent."""
+        known: dict[str, list[int]] = {}
+        for machine in self.machines.values():
+            if machine.heard_at is not None or machine.claims:
+                heard = machine.heard_at if machine.heard_at is not None else self.term_from
+                count = known.setdefault(machine.zone, [0, 0])
+                count[0] += 1
+                count[1] += now - heard > SILENT * self.report_s
+        return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
+
+    def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
         if machine.listed == "failed":
             return "it failed"
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        if booted and silent > LOST * self.report_s:
+        patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut else 0.0)
+        if booted and silent > patience:
             return f"not heard for {silent:.1f} s"
         if not booted and now - machine.born_at > BOOT * machine.kind.boot_s:
             return "it never came up"
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -121,7 +121,8 @@
 
     def orders(self, machine: Machine, now: float, tick: int | None) -> list[dict[str, Any]]:
         """What the machine has to be told now. ``tick``: the report that this answers, None for a push."""
-        desk, result = self.desk, []
+        desk = self.desk
+        result: list[dict[str, Any]] = []
         if machine.deleting and not machine.claims:
             return result
         resend = RESEND * desk.report_s
@@ -151,8 +152,8 @@
                     claim.sent_tick = tick
                 result.append({"verb": "launch", "rung": task_name(claim.task), "try": claim.attempt})
         for task, (attempt, phase) in machine.seen.items():
-            claim = machine.claims.get(task)
-            if claim is not None and claim.attempt == attempt:
+            current = machine.claims.get(task)
+            if current is not None and current.attempt == attempt:
                 continue
             if phase != "exited":
                 # No claim stands for it. That can't be ours to want, so it has to go.
--- a/ladderfield/http.py
+++ b/ladderfield/http.py
@@ -101,7 +101,7 @@
                     data = await stream.receive_some(READ_SIZE)
                     if head is None and data:
                         limit = min(limit, trio.current_time() + self.request_s)
-                    connection.receive_data(data)
+                    connection.receive_data(bytes(data))
                     continue
                 return None
             if isinstance(event, h11.Request):
@@ -193,7 +193,7 @@
             while True:
                 event = connection.next_event()
                 if event is h11.NEED_DATA:
-                    connection.receive_data(await stream.receive_some(READ_SIZE))
+                    connection.receive_data(bytes(await stream.receive_some(READ_SIZE)))
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -9,6 +9,7 @@
 
 import logging
 import time
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -29,6 +30,7 @@
     parse_types,
     valid_uid,
 )
+from ladderfield.peers import PeerLink
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, Unavailable, View
 
@@ -42,8 +44,11 @@
 class Door:
     """Answers users on this controller."""
 
-    def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
-        self.client, self.view = client, view
+    def __init__(
+        self, settings: Settings, client: StateClient, view: View, links: Mapping[str, PeerLink] | None = None
+    ) -> None:
+        self.client, self.view, self.links = client, view, links or {}
+        self.state_ok = True  # whether the state service serves us; kept by the controller's health check
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.block = block_size(settings.cluster.state.value_kb)
         # Each stage is small and tells those it can't take at once; a second's share of the writes may wait.
@@ -57,7 +62,7 @@
         if path == "/ready":
             if request.method != "GET":
                 return Reply(405, {"error": "method"})
-            return Reply(200, {}) if self.view.synced else busy(1)
+            return busy(1) if self._alone() else Reply(200, {})
         if path == "/api/jobs":
             return await self._bounded(self._submit, request.body) if request.method == "POST" else wrong_method()
         if not path.startswith("/api/jobs/"):
@@ -69,6 +74,14 @@
             return await self._bounded(self._cancel, uid) if request.method == "POST" else wrong_method()
         return None
 
+    def _alone(self) -> bool:
+        """Whether the state service turns us away while it serves another controller: users should go there.
+
+        In an outage for all, staying ready costs nothing, whereas each removal makes the load balancer pause longer
+        before it comes back. A controller that has just started and has no view yet is in the same place.
+        """
+        return not self.state_ok and any(link.state_ok for link in self.links.values())
+
     async def _bounded(self, stage: Any, argument: Any) -> Reply:
         if self.busy >= self.room:
             return busy(1)
@@ -139,11 +152,10 @@
         return trio.current_time() - self.client.answered_at < SUBMIT_S / 5
 
     def _final(self, uid: str) -> Reply | None:
-        final = self.view.get(FINAL + uid)
-        if final is None:
+        record = self.view.get(FINAL + uid)
+        if record is None:
             return None
-        phase = final.get("phase")
-        return Reply(200, {"uid": uid, "phase": phase, "done": final.get("done", 0), "running": 0})
+        return Reply(200, {"uid": uid, "phase": record["phase"], "done": record.get("done", 0), "running": 0})
 
     def _state(self, uid: str) -> Reply | None:
         """The job's state in the view, or None if it isn't there."""
@@ -187,8 +199,8 @@
             if not await self.client.writes.take(patience=SUBMIT_S / 3):
                 return busy(1)
             try:
-                final = {"phase": CANCELLED, "at": round(time.time(), 3)}
-                outcome = await self.client.commit(guards, {FINAL + uid: final}, [], SUBMIT_S * SPARE / 3)
+                record = {"phase": CANCELLED, "at": round(time.time(), 3)}
+                outcome = await self.client.commit(guards, {FINAL + uid: record}, [], SUBMIT_S * SPARE / 3)
             except Unavailable as error:
                 log.debug("job %s: not cancelled yet: %s", uid, error)
                 if not self._hopeful():
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -24,7 +24,7 @@
 # How long a foreman that cannot renew its lease goes on answering reports, as a ratio of the workers' lease. It
 # spans an outage of the state service; a successor adds it before it calls an unheard machine's lease expired.
 GRACE = 3.0
-TTL = 1.25  # of report_s: a crash costs about one round of reports
+TTL = 1.0  # of report_s: a crash costs about one round of reports
 
 
 def grace_s(settings: Settings) -> float:
@@ -70,6 +70,10 @@
         value = self.view.get(FOREMAN)
         return value.get("member") if isinstance(value, dict) else None
 
+    def known_epoch(self) -> int:
+        """The highest epoch on record."""
+        return int((self.view.get(EPOCH) or {}).get("epoch", 0))
+
     async def run(self, terms: trio.MemorySendChannel[Term]) -> None:
         """Campaign and serve, term after term. Each term is announced once it is won."""
         async with self.view.subscribe() as changes:
@@ -98,7 +102,7 @@
 
     async def _campaign(self) -> Term | None:
         guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
-        epoch = int((self.view.get(EPOCH) or {}).get("epoch", 0)) + 1
+        epoch = self.known_epoch() + 1
         timeout = self.ttl / 2
         hold = await self.client.grant(self.ttl, timeout)
         sent = trio.current_time()
@@ -131,7 +135,7 @@
             self._higher()
 
     def _higher(self) -> None:
-        epoch = int((self.view.get(EPOCH) or {}).get("epoch", 0))
+        epoch = self.known_epoch()
         if self.term is not None and epoch > self.term.epoch:
             self.term.end(f"epoch {epoch} is on record")
 
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,9 +1,11 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
-Only two things need it: a worker that can't reach the foreman gets its report relayed, and a controller that the
-state service turns away learns whether it is alone with that.
+Only two things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
+controller; and a controller that the state service turns away learns whether it is alone with that.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
+
+``status`` is an HTTP status in answers, and in a relay the number of controllers that have carried it already.
 """
 
 from __future__ import annotations
@@ -61,7 +63,7 @@
     return kind, status, await _exactly(stream, length)
 
 
-Answerer = Callable[[int, bytes], Awaitable[tuple[int, bytes]]]
+Answerer = Callable[[int, int, bytes], Awaitable[tuple[int, bytes]]]
 
 
 class BackServer:
@@ -79,10 +81,10 @@
             async with stream:
                 while self.open <= self.most:
                     with trio.move_on_after(self.idle_s) as scope:
-                        kind, _, body = await read(stream)
+                        kind, status, body = await read(stream)
                     if scope.cancelled_caught:
                         return
-                    status, body = await self.answer(kind, body)
+                    status, body = await self.answer(kind, status, body)
                     with trio.fail_after(self.answer_s):
                         await stream.send_all(pack(ANSWER, status, body))
         except BadFrame as error:
@@ -103,8 +105,10 @@
         self._at = address(peer.endpoint)
         self._idle: list[trio.abc.Stream] = []
         self._busy = 0
+        self.reachable = True  # as of the last question
+        self.state_ok = False  # whether the state service serves it, as it last said
 
-    async def ask(self, kind: int, body: bytes, timeout: float) -> tuple[int, bytes] | None:
+    async def ask(self, kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
         """The answer's status and body, or None."""
         if self._busy >= AT_ONCE:
             return None
@@ -114,11 +118,12 @@
         try:
             with trio.fail_after(timeout):
                 stream = self._idle.pop() if self._idle else await connect(*self._at)
-                await stream.send_all(pack(kind, 0, body))
+                await stream.send_all(pack(kind, status, body))
                 answer_kind, status, answer = await read(stream)
-                whole = answer_kind == ANSWER
+                whole = self.reachable = answer_kind == ANSWER
                 return (status, answer) if whole else None
         except (BadFrame, EOFError, OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            self.reachable = False
             return None
         finally:
             self._busy -= 1
@@ -127,3 +132,8 @@
                     self._idle.append(stream)
                 else:
                     await trio.aclose_forcefully(stream)
+
+    async def check(self, timeout: float) -> None:
+        """Ask how the other controller is."""
+        answer = await self.ask(HEALTH, b"", timeout)
+        self.state_ok = answer is not None and answer[0] == 200
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -34,7 +34,7 @@
         self.cloud = Cloud(settings)
         self.leadership = Leadership(settings, self.client, self.view)
         self.links = {peer.member: PeerLink(peer) for peer in settings.peers}
-        self.door = Door(settings, self.client, self.view)
+        self.door = Door(settings, self.client, self.view, self.links)
         self.reports = ReportDesk(settings, self.leadership, self.links)
 
     async def handle(self, request: Request) -> Reply:
@@ -44,14 +44,24 @@
             reply = await self.door(request)
         return reply or Reply(404, {"error": "no such path"})
 
-    async def handle_back(self, kind: int, body: bytes) -> tuple[int, bytes]:
+    async def handle_back(self, kind: int, status: int, body: bytes) -> tuple[int, bytes]:
         """Any question over ``back``."""
         if kind == RELAY:
-            return await self.reports.relayed(body)
+            return await self.reports.relayed(body, status)
         if kind == HEALTH:
-            return 200, b""
+            return (200 if self.door.state_ok else 503), b""
         return 400, b""
 
+    async def run_health(self) -> None:
+        """Know whether the state service serves us, and how the others are."""
+        pause = self.settings.cluster.workers.report_s / 2
+        while True:
+            async with trio.open_nursery() as nursery:
+                for link in self.links.values():
+                    nursery.start_soon(link.check, pause)
+                self.door.state_ok = await self.view.fresh(pause)
+            await trio.sleep(pause)
+
     async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
         """Be foreman whenever this controller is elected."""
         async for term in terms:
@@ -85,6 +95,7 @@
             nursery.start_soon(self.leadership.run, send)
             nursery.start_soon(self.run_terms, receive)
             nursery.start_soon(self.run_types)
+            nursery.start_soon(self.run_health)
 
 
 async def _listen(text: str, serve: Callable[[trio.abc.Stream], Awaitable[None]], most: int) -> None:
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -309,5 +309,5 @@
     __slots__ = ("answered", "ledger", "started")
 
     def __init__(self) -> None:
-        self.started, self.ledger, self.answered = False, None, trio.Event()
-        self.ledger: int | None
+        self.started, self.answered = False, trio.Event()
+        self.ledger: int | None = None
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -222,7 +222,7 @@
         self.rungs: dict[str, dict[str, Any]] = {}
         self.ends: dict[str, float] = {}
         self.log: list[tuple[float, str, int]] = []
-        self.held: list[tuple[dict[str, Any], Any]] = []  # /orders kept back while ``hold`` is set
+        self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
         self.dead = False
 
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import OrderedDict
+from typing import Any
 
 import trio
 
@@ -18,7 +20,7 @@
 
 WORKER_S = 4.0  # the protocol: how long a worker waits for its answer
 ANSWER_BY = 0.6  # of that is ours
-RELAY_FOR = 5.0  # of lease_s: then a relayed worker is asked to try the foreman itself again
+RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the foreman itself again
 REMEMBERED = 4096  # workers
 
 
@@ -28,9 +30,10 @@
     def __init__(self, settings: Settings, leadership: Leadership, links: dict[str, PeerLink]) -> None:
         self.leadership, self.links = leadership, links
         self.lease_s = settings.cluster.workers.lease_s
-        self.inbox: trio.MemorySendChannel | None = None  # set while this controller is foreman
+        self.inbox: trio.MemorySendChannel[Any] | None = None  # set while this controller is foreman
+        self._once: OrderedDict[str, float] = OrderedDict()  # worker -> when it was relayed on suspicion
         self._sent_away: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the foreman
-        self._carried: OrderedDict[str, float] = OrderedDict()  # worker -> since when its reports are relayed
+        self._carried: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
         self._warned = False
 
     async def __call__(self, request: Request) -> Reply | None:
@@ -52,37 +55,63 @@
         link = self.links.get(foreman or "")
         if link is None:
             return Reply(421, {})
-        now = trio.current_time()
-        since = self._carried.get(report.host)
-        came_back = now - self._sent_away.get(report.host, -self.lease_s) < self.lease_s
-        if (since is None and not came_back) or (since is not None and now - since > RELAY_FOR * self.lease_s):
-            self._carried.pop(report.host, None)
-            self._note(self._sent_away, report.host, now)
+        if not self._cut_off(report, link, trio.current_time()):
             return Reply(421, {"foreman": foreman})
-        answer = await link.ask(RELAY, request.body, WORKER_S * ANSWER_BY)
+        answer = await self._relay(link, request.body, 0)
         if answer is None or answer[0] != 200:
             return Reply(421, {})
-        if since is None:
-            log.info("machine %s: can't reach %s, its reports are relayed", report.host, foreman)
-            self._note(self._carried, report.host, now)
         reply = Reply(200)
         reply.body = answer[1]
         return reply
 
-    async def relayed(self, body: bytes) -> tuple[int, bytes]:
-        """A report that another controller carries to us."""
+    def _cut_off(self, report: Report, link: PeerLink, now: float) -> bool:
+        """Whether the worker likely can't reach the foreman, so that its report is relayed.
+
+        It came back after it was sent there; or we can't reach the foreman ourselves; or it has taken the foreman's
+        epoch already, so it was there and left. The last is only a guess: it is relayed once, and sent there next.
+        """
+        host = report.host
+        if now < self._carried.get(host, 0.0) or not link.reachable:
+            return True
+        if now - self._sent_away.get(host, -math.inf) < self.lease_s:
+            log.info("machine %s: can't reach %s, its reports are relayed", host, link.peer.member)
+            self._note(self._carried, host, now + RELAY_FOR * self.lease_s)
+            del self._sent_away[host]
+            return True
+        if report.epoch == self.leadership.known_epoch() and now - self._once.get(host, -math.inf) > self.lease_s:
+            self._note(self._once, host, now)
+            return True
+        self._note(self._sent_away, host, now)
+        return False
+
+    async def _relay(self, link: PeerLink, body: bytes, hops: int) -> tuple[int, bytes] | None:
+        """The foreman's answer, asked directly, or by way of another controller if we can't reach it."""
+        timeout = WORKER_S * ANSWER_BY / (1 + hops)
+        if link.reachable or hops:
+            return await link.ask(RELAY, body, timeout, hops + 1)
+        for other in self.links.values():
+            if other is not link and other.reachable:
+                return await other.ask(RELAY, body, timeout, hops + 1)
+        return None
+
+    async def relayed(self, body: bytes, hops: int) -> tuple[int, bytes]:
+        """A report that another controller carries to us: we are the foreman, or may reach it."""
         try:
             report = parse_report(body)
         except ValueError:
             return 400, b"{}"
-        if self.inbox is None:
-            return 421, b"{}"
-        reply = await self._ask_foreman(report)
-        return reply.status, reply.body
+        if self.inbox is not None:
+            reply = await self._ask_foreman(report)
+            return reply.status, reply.body
+        link = self.links.get(self.leadership.known_foreman() or "")
+        if link is not None and hops == 1:
+            return await self._relay(link, body, hops) or (421, b"{}")
+        return 421, b"{}"
 
     async def _ask_foreman(self, report: Report) -> Reply:
         message = Reported(report)
         try:
+            assert self.inbox is not None
             self.inbox.send_nowait(message)
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
             return Reply(503, {})
