--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -17,8 +17,7 @@
 
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
 REFUSED_MOST = 20.0  # of report_s
-LINGER_SPOT = 0.5  # of a type's boot time: how long a machine may idle before it is returned
-LINGER_DEAR = 0.2
+LINGER = 0.7  # of the time to bring an equal machine back (boot, image): so long it may idle before it is returned
 HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
 LINGER_LEAST = 1.0  # of report_s
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
@@ -204,8 +203,8 @@
         for machine in self.desk.machines.values():
             if machine.deleting or machine.claims or machine.heard_at is None or machine.idle_since is None:
                 continue
-            ratio = LINGER_SPOT if machine.spot else LINGER_DEAR
-            linger = max(ratio * machine.kind.boot_s, LINGER_LEAST * self.desk.report_s)
+            again = machine.kind.boot_s + max(machine.cached.values(), default=0.0) / machine.kind.fetch_gb_per_s
+            linger = max(LINGER * again, LINGER_LEAST * self.desk.report_s)
             if now - machine.idle_since > linger and machine.host not in self.keep:
                 result.append(machine)
         return result
