--- a/ladderfield/conftest.py
+++ b/ladderfield/conftest.py
@@ -24,5 +24,3 @@
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
     return True
-
-
--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -21,7 +21,7 @@
 HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
 LINGER_LEAST = 1.0  # of report_s
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
-SPARE = 1.0  # of the services expected to arrive while a machine boots: room kept ready
+SPARE = 1.0  # standard deviations over the number of services expected while a machine boots: room kept ready
 
 Offer = tuple[str, str, bool]  # type, zone, spot
 
@@ -131,17 +131,20 @@
         """Every waiting replica gets room, if need be in place of lower ranks; and so do those soon to come."""
         desk = self.desk
         for job in jobs:
-            self._give(job.spec, min(job.waiting, desk.teams.room(job.spec)), rooms, planned, now)
+            self._give(job.spec, min(job.waiting, desk.teams.room(job.spec)), rooms, planned, now, soon=True)
         for job_class, spec in desk.outlook.latest.items():
-            boot = min((kind.boot_s for kind in desk.types.values() if fits(spec, kind)), default=0.0)
-            spare = math.ceil(SPARE * boot * desk.outlook.rate(job_class, now) * spec.tasks)
-            self._give(spec, spare, rooms, planned, now)
+            offer = self._best(spec, 1, (True, False), now)
+            if offer is not None:
+                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(job_class, now) * spec.tasks
+                self._give(spec, math.ceil(coming + SPARE * math.sqrt(coming)), rooms, planned, now)
 
-    def _give(self, spec: JobSpec, need: int, rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+    def _give(
+        self, spec: JobSpec, need: int, rooms: list[Room], planned: dict[Offer, int], now: float, soon: bool = False
+    ) -> None:
         for room in sorted(rooms, key=lambda one: (one.idle, one.cpus)):
             if need > 0 and room.allows(spec):
                 need -= room.place(spec, need)
-        while need > 0 and (offer := self._best(spec, need, (True, False), now)):
+        while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)):
             room = self._plan(offer, rooms, planned)
             placed = room.place(spec, need)
             if not placed:
@@ -178,8 +181,9 @@
         planned[offer] = planned.get(offer, 0) + 1
         return room
 
-    def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float) -> Offer | None:
-        """The cheapest offer per task that the job allows and the cloud did not just refuse."""
+    def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
+        """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
+        price with the time to boot."""
         best: tuple[float, Offer] | None = None
         for kind in self.desk.types.values():
             if not fits(spec, kind):
@@ -193,6 +197,8 @@
                     if (spot and not spec.spot) or self.refused.get(offer, (-math.inf, 0.0))[0] > now:
                         continue
                     cost = (kind.spot_price if spot else kind.price) / max(1, min(full, need))
+                    if soon:
+                        cost *= kind.boot_s
                     if best is None or (cost, offer) < best:
                         best = (cost, offer)
         return best[1] if best else None
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -136,7 +136,9 @@
             self.desk.load(dict(self.view.data), trio.current_time())
             log.info(
                 "epoch %d: took over %d jobs, %d machines with claims",
-                self.term.epoch, len(self.desk.jobs), len(self.desk.machines),
+                self.term.epoch,
+                len(self.desk.jobs),
+                len(self.desk.machines),
             )
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
@@ -160,8 +162,13 @@
 
     async def _loop(self) -> None:
         handlers: dict[type, Callable[[Any, float], None]] = {
-            Reported: self._on_report, Changed: self._on_changed, Committed: self._on_committed,
-            Pushed: self._on_pushed, Seen: self._on_seen, Rented: self._on_rented, Deleted: self._on_deleted,
+            Reported: self._on_report,
+            Changed: self._on_changed,
+            Committed: self._on_committed,
+            Pushed: self._on_pushed,
+            Seen: self._on_seen,
+            Rented: self._on_rented,
+            Deleted: self._on_deleted,
             Tick: self._on_tick,
         }
         while True:
@@ -287,18 +294,16 @@
         for machine in self.desk.machines.values():
             if machine.claims and machine.epoch == self.term.epoch and self._restless(machine, now):
                 self._to_push.add(machine.host)
-        if self.term.may_start(now):
-            self.desk.preempt(now)
-            if now - self._planned_at >= PLAN_EVERY * self.report_s:
-                self._planned_at = now
-                for machine in self.planner.returns(now):
-                    log.info("machine %s: idle, returned", machine.host)
-                    machine.deleting = True
-                    self.desk.queues.withdraw(machine)
-                    doomed.append(machine.host)
-                if not self._renting:
-                    for rental in self.planner.rentals(now):
-                        self._rent(rental)
+        if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.report_s:
+            self._planned_at = now
+            for machine in self.planner.returns(now):
+                log.info("machine %s: idle, returned", machine.host)
+                machine.deleting = True
+                self.desk.queues.withdraw(machine)
+                doomed.append(machine.host)
+            if not self._renting:
+                for rental in self.planner.rentals(now):
+                    self._rent(rental)
         due = [host for host in doomed if host not in self._deleting][:DELETE_MOST]
         if due and self.term.may_start(now):
             self._deleting.update(due)
@@ -306,10 +311,7 @@
 
     def _restless(self, machine: Machine, now: float) -> bool:
         """Whether something waits to be told, and pushing may help."""
-        return any(
-            claim.stopping is not None and claim.stop_at == 0
-            for claim in machine.claims.values()
-        )
+        return any(claim.stopping is not None and claim.stop_at == 0 for claim in machine.claims.values())
 
     def _rent(self, rental: Rental) -> None:
         self._hires += 1
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -32,6 +32,8 @@
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
 BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
+HOLD = 1.0  # of report_s: how long cleared room is kept for the replica it was cleared for
+FETCH = 2.0  # a second of a replica's fetch is worth so many seconds of work of lower rank
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
 
@@ -180,6 +182,9 @@
         for tier in ready:
             rank = next(iter(tier)).order[0]
             for score in (1, 0):
+                if score == 0 and rank == 0:
+                    for job in tier:
+                        self._make_room(job, machines, now)
                 for machine in free:
                     if now < machine.hold_until and rank > machine.hold_rank:
                         continue
@@ -193,6 +198,8 @@
         while True:
             # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
             jobs = {job for job in tier if job.queued and machine.has_room(job.spec) and self.teams.room(job.spec)}
+            if score == 0:
+                jobs = {job for job in jobs if self._may_go_to(job, machine, now)}
             if not jobs:
                 return made
             pulled = self.queues.pull(machine, machines, jobs, score)
@@ -202,16 +209,19 @@
             self.claim(job, index, machine, owner, now)
             made += 1
 
-    def preempt(self, now: float) -> None:
-        """Clear room for a production replica that no machine has room for; only lower ranks give way."""
-        machines = self.usable(now)
-        for job in self.jobs.values():
-            rank = job.order[0]
-            if job.final is not None or rank != 0 or not job.queued or not self.teams.room(job.spec):
-                continue
-            holding = sum(1 for one in machines if now < one.hold_until and one.hold_rank == rank)
-            if holding >= job.queued:
-                continue
+    def _may_go_to(self, job: Job, machine: Machine, now: float) -> bool:
+        """A replica for which room is being cleared waits for that room (or for one with its image)."""
+        held = [host for host, until in job.held.items() if until > now]
+        return len(held) < job.queued or machine.host in held
+
+    def _make_room(self, job: Job, machines: list[Machine], now: float) -> None:
+        """Clear room for a production replica that has no machine with room and its image; only lower ranks give way.
+
+        Where a fetch would cost more than the work that is lost, a machine with the image is cleared even though
+        another has room.
+        """
+        rank = job.order[0]
+        while job.queued > sum(1 for until in job.held.values() if until > now) and self.teams.room(job.spec):
             best: tuple[float, str, list[Claim]] | None = None
             for machine in machines:
                 if now < machine.hold_until or not placeable(job, machine):
@@ -222,18 +232,21 @@
                     if claim.job.order[0] > rank and claim.stopping is None
                 }
                 chosen = victims(machine, job.spec, lower)
-                if chosen:
-                    lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
-                    if not locality(job, machine):
-                        lost += job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
-                    if best is None or (lost, machine.host) < best[:2]:
-                        best = (lost, machine.host, chosen)
-            if best is not None:
-                machine = self.machines[best[1]]
-                machine.hold_rank, machine.hold_until = rank, now + 2 * self.report_s
-                log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
-                for claim in best[2]:
-                    self.stop(claim, "preempted", now)
+                if chosen is None:
+                    continue
+                lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
+                if not locality(job, machine):
+                    lost += FETCH * job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
+                if best is None or (lost, machine.host) < best[:2]:
+                    best = (lost, machine.host, chosen)
+            if best is None or not best[2]:
+                return
+            machine = self.machines[best[1]]
+            job.held[machine.host] = machine.hold_until = now + HOLD * self.report_s
+            machine.hold_rank = rank
+            log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
+            for claim in best[2]:
+                self.stop(claim, "preempted", now)
 
     # -- machines ----------------------------------------------------------------------------------------------
 
@@ -275,9 +288,7 @@
         for machine in self.machines.values():
             heard = machine.heard_at if machine.heard_at is not None else self.term_from
             silent = now - heard
-            if machine.claims and now > machine.lease_over_at(
-                self.epoch, self.term_from, self.grace_s, self.lease_s
-            ):
+            if machine.claims and now > machine.lease_over_at(self.epoch, self.term_from, self.grace_s, self.lease_s):
                 log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
                 self.queues.withdraw(machine)
                 for claim in list(machine.claims.values()):
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -153,4 +153,3 @@
                 log.debug("epoch %d: renewal: %s", term.epoch, error)
                 if trio.current_time() > term.renewed_at + self.ttl + self.grace:
                     term.end("its lease could not be renewed")
-
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -23,8 +23,22 @@
     """One attempt of one task, bound to one machine."""
 
     __slots__ = (
-        "attempt", "claimed_at", "helped", "host", "index", "inherited", "job", "phase", "recorded",
-        "running_at", "sent_at", "sent_tenure", "sent_tick", "stop_at", "stopping", "zone",
+        "attempt",
+        "claimed_at",
+        "helped",
+        "host",
+        "index",
+        "inherited",
+        "job",
+        "phase",
+        "recorded",
+        "running_at",
+        "sent_at",
+        "sent_tenure",
+        "sent_tick",
+        "stop_at",
+        "stopping",
+        "zone",
     )
 
     def __init__(self, job: Job, index: int, attempt: int, host: str, zone: str, now: float) -> None:
@@ -83,8 +97,25 @@
     """An accepted job that is not yet over, or whose claims still bind."""
 
     __slots__ = (
-        "at", "block", "blocks", "claims", "done", "errors", "failed_hosts", "final", "finished_s", "next_block",
-        "not_before", "order", "queued", "spec", "stamp", "uid", "undealt", "zones",
+        "at",
+        "block",
+        "blocks",
+        "claims",
+        "done",
+        "errors",
+        "failed_hosts",
+        "final",
+        "finished_s",
+        "held",
+        "next_block",
+        "not_before",
+        "order",
+        "queued",
+        "spec",
+        "stamp",
+        "uid",
+        "undealt",
+        "zones",
     )
 
     def __init__(self, spec: JobSpec, at: float, block: int, stamp: int) -> None:
@@ -100,6 +131,7 @@
         self.errors = 0  # in a row, without a success between
         self.failed_hosts: set[str] = set()
         self.not_before = 0.0
+        self.held: dict[str, float] = {}  # machines being cleared for its tasks, and until when
         self.finished_s: list[float] = []  # run times seen
         self.order = (RANKS[spec.rank],)
 
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -85,7 +85,6 @@
                     log.info("machine types: %s", error)
             await trio.sleep(pause / 4 if self.view.get(TYPES) is None else pause)
 
-
     async def run(self) -> None:
         """Everything but the listeners."""
         send, receive = trio.open_memory_channel[Term](1)
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -94,7 +94,12 @@
         return stamp
 
     async def commit(
-        self, guards: dict[str, int], puts: dict[str, Any], deletes: list[str], timeout: float, hold: int | None = None,
+        self,
+        guards: dict[str, int],
+        puts: dict[str, Any],
+        deletes: list[str],
+        timeout: float,
+        hold: int | None = None,
         held: str | None = None,
     ) -> Outcome:
         """One transaction; ``held`` names the put that is attached to lease ``hold``."""
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -173,9 +173,7 @@
         return Reply(200, {"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]})
 
     async def _multi(self, body: dict[str, Any]) -> Reply:
-        failed = [
-            guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]
-        ]
+        failed = [guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]]
         if failed:
             return Reply(409, {"failed": failed, "ledger": self.ledger})
         if body["apply"]:
@@ -355,5 +353,3 @@
                 }  # fmt: skip
             self.hires[body["hire"]] = names
         return Reply(200, {"hosts": self.hires[body["hire"]]})
-
-
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -128,5 +128,3 @@
         table.move_to_end(host)
         if len(table) > REMEMBERED:
             table.popitem(last=False)
-
-
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -17,9 +17,34 @@
     """A rented machine, from its first sighting until it is surely gone."""
 
     __slots__ = (
-        "answered_at", "blamed", "born_at", "cached", "claims", "cpus", "deleting", "doubts", "endpoint", "epoch",
-        "finished", "gpus", "heard_at", "hold_rank", "hold_until", "host", "idle_since", "kind", "listed", "memory_gb",
-        "queue", "recall_at", "seen", "sick", "spot", "tenure", "tick", "zone",
+        "answered_at",
+        "blamed",
+        "born_at",
+        "cached",
+        "claims",
+        "cpus",
+        "deleting",
+        "doubts",
+        "endpoint",
+        "epoch",
+        "finished",
+        "gpus",
+        "heard_at",
+        "hold_rank",
+        "hold_until",
+        "host",
+        "idle_since",
+        "kind",
+        "listed",
+        "memory_gb",
+        "queue",
+        "recall_at",
+        "seen",
+        "sick",
+        "spot",
+        "tenure",
+        "tick",
+        "zone",
     )
 
     def __init__(self, host: str, endpoint: str, kind: MachineType, zone: str, spot: bool, now: float) -> None:
