--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -177,8 +177,9 @@
         if not ready:
             return 0
         free = [machine for machine in machines if machine.cpus > 0]
-        # Cheap machines ask first, then fuller ones, so that the dear and the empty run dry and can be returned.
-        free.sort(key=lambda one: (not one.spot, one.cpus / one.kind.cpus, one.host))
+        # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
+        # dear and the empty run dry and can be returned.
+        free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
         for tier in ready:
             rank = next(iter(tier)).order[0]
             for score in (1, 0):
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -79,6 +79,11 @@
             and spec.gpus <= self.gpus + SLACK
         )
 
+    @property
+    def keeps_up(self) -> bool:
+        """Whether a replica runs here, so that the machine stays whatever else it does."""
+        return any(claim.job.spec.service for claim in self.claims.values())
+
     def take(self, claim: Claim) -> None:
         """Bind room for a claim."""
         spec = claim.job.spec
