--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -19,6 +19,9 @@
 REFUSED_MOST = 20.0  # of report_s
 LINGER = 0.7  # of the time to bring an equal machine back (boot, image): so long it may idle before it is returned
 HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
+LINGER_AMPLE = 0.15  # the same while there is ample room
+AMPLE = 1.2  # of the cpus asked for lately
+RECENT = 8.0  # of report_s: what counts as lately
 LINGER_LEAST = 1.0  # of report_s
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
 SPARE = 1.0  # standard deviations over the number of services expected while a machine boots: room kept ready
@@ -99,6 +102,7 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.refused: dict[Offer, tuple[float, float]] = {}  # until when, and the pause that led there
+        self._asked, self._asked_at = 0.0, -math.inf  # cpus asked for, smoothed
         self.keep: set[str] = set()  # machines that the last plan needs though they are idle
 
     def refuse(self, offer: Offer, now: float) -> None:
@@ -204,13 +208,28 @@
         return best[1] if best else None
 
     def returns(self, now: float) -> list[Machine]:
-        """Machines that have been idle for long enough and that nothing foreseen needs."""
+        """Idle machines that nothing foreseen needs: soon where there is far more room than was asked for lately,
+        otherwise once they have idled for most of what it would cost to bring them back."""
+        desk = self.desk
+        live = [one for one in desk.machines.values() if one.heard_at is not None and not one.deleting]
+        asked = sum(claim.job.spec.cpus for one in live for claim in one.claims.values())
+        asked += sum(
+            min(job.waiting, desk.teams.room(job.spec)) * job.spec.cpus
+            for job in desk.jobs.values()
+            if job.final is None
+        )
+        fade = math.exp((self._asked_at - now) / (RECENT * desk.report_s))
+        self._asked = asked + fade * (self._asked - asked)
+        self._asked_at = now
+        excess = sum(one.kind.cpus for one in live) - AMPLE * max(asked, self._asked)
         result = []
-        for machine in self.desk.machines.values():
-            if machine.deleting or machine.claims or machine.heard_at is None or machine.idle_since is None:
+        for machine in sorted(live, key=lambda one: (one.spot, -one.kind.price, one.host)):
+            if machine.claims or machine.idle_since is None or machine.host in self.keep:
                 continue
             again = machine.kind.boot_s + max(machine.cached.values(), default=0.0) / machine.kind.fetch_gb_per_s
-            linger = max(LINGER * again, LINGER_LEAST * self.desk.report_s)
-            if now - machine.idle_since > linger and machine.host not in self.keep:
+            ample = machine.kind.cpus <= excess
+            linger = max((LINGER_AMPLE if ample else LINGER) * again, LINGER_LEAST * desk.report_s)
+            if now - machine.idle_since > linger:
                 result.append(machine)
+                excess -= machine.kind.cpus
         return result
