--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -138,7 +138,10 @@
             with trio.move_on_at(until):
                 await self.view.reach(outcome.ledger)
                 if outcome.failed is None:
-                    log.info("job %s: accepted, %s of %s, %d tasks", uid, spec.job_class, spec.team, spec.tasks)
+                    log.info(
+                        "job %s: accepted, %s of %s, %d tasks, expects %.0f s, due %s",
+                        uid, spec.job_class, spec.team, spec.tasks, spec.estimate_s, spec.deadline_s,
+                    )  # fmt: skip
                     return Reply(201, {"uid": uid, "phase": "queued"})
                 known = self._state(uid)
                 if known is not None:
