--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -13,9 +13,10 @@
 import msgspec
 
 from ladderfield.foreman.outlook import Outlook
+from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import BLOCK, CANCELLED, FINAL, JOB, TYPES, JobSpec, MachineType, parse_types
-from ladderfield.queues.pick import Queues, locality, placeable, tiers, victims
+from ladderfield.queues.pick import Queues, tiers
 from ladderfield.queues.work import Claim, Job, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
@@ -32,8 +33,7 @@
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
 BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
-HOLD = 1.0  # of report_s: how long cleared room is kept for the replica it was cleared for
-FETCH = 2.0  # a second of a replica's fetch is worth so many seconds of work of lower rank
+OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
 
@@ -57,6 +57,7 @@
         self._attempts = 0
         self.outlook = Outlook(settings)
         self.sessions = Sessions(self)
+        self.room = RoomMaker(self)
         self.push: Callable[[Machine], None] = lambda machine: None
 
     # -- what is on record -------------------------------------------------------------------------------------
@@ -64,9 +65,9 @@
     def load(self, data: dict[str, tuple[Any, int]], now: float) -> None:
         """Rebuild everything from the state service's keys: a takeover."""
         self.types = parse_types((data.get(TYPES) or (None, 0))[0])
-        for key, (value, stamp) in data.items():
-            if key.startswith(JOB):
-                self._add_job(value, stamp)
+        jobs = [pair for key, pair in data.items() if key.startswith(JOB)]
+        for value, stamp in sorted(jobs, key=lambda pair: pair[0]["at"]):
+            self._add_job(value, stamp)
         for key, (value, stamp) in data.items():
             if key.startswith(BLOCK):
                 self._load_block(key, value, stamp, now)
@@ -180,27 +181,35 @@
         # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
         # dear and the empty run dry and can be returned.
         free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
-        for tier in ready:
+        for owed, tier in ready:
             rank = next(iter(tier)).order[0]
             for score in (1, 0):
                 if score == 0 and rank == 0:
                     for job in tier:
-                        self._make_room(job, machines, now)
+                        self.room.for_replicas(job, machines, now)
                 for machine in free:
                     if now < machine.hold_until and rank > machine.hold_rank:
                         continue
-                    made += self._fill(machine, machines, tier, score, now)
+                    made += self._fill(machine, machines, tier, owed, score, now)
+            if owed:
+                for job in sorted(tier, key=lambda one: one.uid):
+                    if job.queued and now - job.at > OWED * self.report_s:
+                        self.room.for_guarantee(job, machines, now)
         if made:
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
 
-    def _fill(self, machine: Machine, machines: list[Machine], tier: set[Job], score: int, now: float) -> int:
+    def _fill(
+        self, machine: Machine, machines: list[Machine], tier: set[Job], owed: bool, score: int, now: float
+    ) -> int:
         made = 0
         while True:
             # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
             jobs = {job for job in tier if job.queued and machine.has_room(job.spec) and self.teams.room(job.spec)}
+            if owed:
+                jobs = {job for job in jobs if self.teams.guaranteed(job.spec)}
             if score == 0:
-                jobs = {job for job in jobs if self._may_go_to(job, machine, now)}
+                jobs = {job for job in jobs if self.room.may_go_to(job, machine, now)}
             if not jobs:
                 return made
             pulled = self.queues.pull(machine, machines, jobs, score)
@@ -210,45 +219,6 @@
             self.claim(job, index, machine, owner, now)
             made += 1
 
-    def _may_go_to(self, job: Job, machine: Machine, now: float) -> bool:
-        """A replica for which room is being cleared waits for that room (or for one with its image)."""
-        held = [host for host, until in job.held.items() if until > now]
-        return len(held) < job.queued or machine.host in held
-
-    def _make_room(self, job: Job, machines: list[Machine], now: float) -> None:
-        """Clear room for a production replica that has no machine with room and its image; only lower ranks give way.
-
-        Where a fetch would cost more than the work that is lost, a machine with the image is cleared even though
-        another has room.
-        """
-        rank = job.order[0]
-        while job.queued > sum(1 for until in job.held.values() if until > now) and self.teams.room(job.spec):
-            best: tuple[float, str, list[Claim]] | None = None
-            for machine in machines:
-                if now < machine.hold_until or not placeable(job, machine):
-                    continue
-                lower = {
-                    claim: now - (claim.running_at or now)
-                    for claim in machine.claims.values()
-                    if claim.job.order[0] > rank and claim.stopping is None
-                }
-                chosen = victims(machine, job.spec, lower)
-                if chosen is None:
-                    continue
-                lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
-                if not locality(job, machine):
-                    lost += FETCH * job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
-                if best is None or (lost, machine.host) < best[:2]:
-                    best = (lost, machine.host, chosen)
-            if best is None or not best[2]:
-                return
-            machine = self.machines[best[1]]
-            job.held[machine.host] = machine.hold_until = now + HOLD * self.report_s
-            machine.hold_rank = rank
-            log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
-            for claim in best[2]:
-                self.stop(claim, "preempted", now)
-
     # -- machines ----------------------------------------------------------------------------------------------
 
     def failed(self, claim: Claim, machine: Machine, now: float) -> None:
--- /dev/null
+++ b/ladderfield/foreman/room.py
@@ -0,0 +1,102 @@
+"""Clearing room: which running work gives way, for whom, and that the room goes to whom it was cleared for.
+
+Two cases allow it: room for a production replica may stop lower ranks; and a team that is owed its guarantee may
+have back what other teams run beyond theirs. Production replicas themselves are never stopped for room.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ladderfield.queues.pick import locality, placeable, victims
+from ladderfield.queues.work import Claim, Job
+from ladderfield.workers.machine import Machine
+
+if TYPE_CHECKING:
+    from ladderfield.foreman.desk import Desk
+
+log = logging.getLogger(__name__)
+
+HOLD = 1.0  # of report_s: how long cleared room is kept for the task it was cleared for
+FETCH = 2.0  # a second of a replica's fetch is worth so many seconds of work of lower rank
+
+
+class RoomMaker:
+    """Stops work on the desk's tables, and remembers for whom."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+
+    def may_go_to(self, job: Job, machine: Machine, now: float) -> bool:
+        """A task for which room is being cleared waits for that room (or for a machine with its image)."""
+        held = [host for host, until in job.held.items() if until > now]
+        return len(held) < job.queued or machine.host in held
+
+    def for_replicas(self, job: Job, machines: list[Machine], now: float) -> None:
+        """Clear room for a production replica that no machine has room and the image for.
+
+        Where a fetch would cost more than the work that is lost, a machine with the image is cleared even though
+        another has room.
+        """
+        rank = job.order[0]
+        self._clear(job, machines, lambda claim: claim.job.order[0] > rank, FETCH, job.queued, now)
+
+    def for_guarantee(self, job: Job, machines: list[Machine], now: float) -> None:
+        """Take back for a team within its guarantee what others borrowed; they keep all of their own guarantee."""
+        teams = self.desk.teams
+        spare = teams.borrowed()
+        for claim in (claim for machine in machines for claim in machine.claims.values()):
+            if claim.stopping is not None and claim.job.spec.team in spare:
+                spare[claim.job.spec.team] -= claim.job.spec.cpus
+
+        def borrowed(claim: Claim) -> bool:
+            spec = claim.job.spec
+            return spec.team != job.spec.team and not spec.service and spare.get(spec.team, 0.0) >= spec.cpus
+
+        for claim in self._clear(job, machines, borrowed, 1.0, min(job.queued, teams.owed(job.spec)), now, once=True):
+            spare[claim.job.spec.team] -= claim.job.spec.cpus
+
+    def _clear(
+        self,
+        job: Job,
+        machines: list[Machine],
+        gives_way: Callable[[Claim], bool],
+        fetch: float,
+        most: int,
+        now: float,
+        once: bool = False,
+    ) -> list[Claim]:
+        """Clear room for up to so many tasks of a job, where the least is lost; the claims that were stopped."""
+        desk, stopped = self.desk, list[Claim]()
+        while most > sum(1 for until in job.held.values() if until > now) and desk.teams.room(job.spec):
+            best: tuple[float, str, list[Claim]] | None = None
+            for machine in machines:
+                if now < machine.hold_until or not placeable(job, machine):
+                    continue
+                lower = {
+                    claim: now - (claim.running_at or now)
+                    for claim in machine.claims.values()
+                    if claim.stopping is None and gives_way(claim)
+                }
+                chosen = victims(machine, job.spec, lower)
+                if chosen is None:
+                    continue
+                lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
+                if not locality(job, machine):
+                    lost += fetch * job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
+                if best is None or (lost, machine.host) < best[:2]:
+                    best = (lost, machine.host, chosen)
+            if best is None or not best[2]:
+                break
+            machine = desk.machines[best[1]]
+            job.held[machine.host] = machine.hold_until = now + HOLD * desk.report_s
+            machine.hold_rank = job.order[0]
+            log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
+            for claim in best[2]:
+                desk.stop(claim, "preempted", now)
+            stopped += best[2]
+            if once:
+                break
+        return stopped
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -118,8 +118,11 @@
     )
 
 
-def tiers(jobs: Iterable[Job], teams: Teams, due: Callable[[Job], tuple[bool, int]], now: float) -> list[set[Job]]:
-    """Jobs that may start tasks now, grouped in the order of guarantee, rank and due time.
+def tiers(
+    jobs: Iterable[Job], teams: Teams, due: Callable[[Job], tuple[bool, int]], now: float
+) -> list[tuple[bool, set[Job]]]:
+    """Jobs that may start tasks now, grouped in the order of guarantee, rank and due time; with each group whether
+    it is owed to its team.
 
     Due times are told apart only as finely as ``due`` does, so that within a group the design's pick decides.
     """
@@ -127,7 +130,7 @@
     for job in jobs:
         if job.queued and job.final is None and now >= job.not_before and teams.room(job.spec):
             groups.setdefault((not teams.guaranteed(job.spec), *job.order, *due(job)), set()).add(job)
-    return [groups[key] for key in sorted(groups)]
+    return [(not key[0], groups[key]) for key in sorted(groups)]
 
 
 def victims(machine: Machine, spec: JobSpec, preemptible: dict[Claim, float]) -> list[Claim] | None:
--- a/ladderfield/teams.py
+++ b/ladderfield/teams.py
@@ -47,7 +47,13 @@
         gpus_ok = self.gpus[spec.team] + spec.gpus <= team.gpus + SLACK
         return cpus_ok and gpus_ok and (team.cpus > 0 or team.gpus > 0)
 
-    def borrows(self, name: str) -> bool:
-        """Whether the team runs more than its guarantee (so others may take it back)."""
-        team = self.teams[name]
-        return self.cpus[name] > team.cpus + SLACK or self.gpus[name] > team.gpus + SLACK
+    def owed(self, spec: JobSpec) -> int:
+        """How many more such tasks the team's guarantee holds."""
+        team = self.teams.get(spec.team)
+        if team is None or not spec.cpus:
+            return 0
+        return max(0, int((team.cpus - self.cpus[spec.team] + SLACK) / spec.cpus))
+
+    def borrowed(self) -> dict[str, float]:
+        """The cpus that teams run beyond their guarantees."""
+        return {name: max(0.0, self.cpus[name] - team.cpus) for name, team in self.teams.items()}
