--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -19,7 +19,7 @@
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.ledger import Ledger, Txn
 from ladderfield.http import Client, NoAnswer
-from ladderfield.jobs.model import TYPES
+from ladderfield.jobs.model import TYPES, parse_types
 from ladderfield.leadership import EPOCH, Term, grace_s
 from ladderfield.settings import Settings, address
 from ladderfield.state import Change, Outcome, StateClient, Unavailable, View
@@ -382,7 +382,7 @@
         while True:
             try:
                 kinds = await self.cloud.types()
-                if kinds != self.view.get(TYPES):
+                if parse_types(kinds) and kinds != self.view.get(TYPES):
                     await self.client.foreman_writes.take()
                     await self.client.commit({EPOCH: self.term.stamp}, {TYPES: kinds}, [], self.report_s)
                 await trio.sleep(TYPES_EVERY * self.report_s)
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -61,11 +61,10 @@
             elif job.final is not None and not job.claims:
                 self._clear(txn, job)
             else:
-                for block in job.blocks.values():
-                    if not block.settled:
-                        new = any(not claim.recorded for claim in block.claims.values())
-                        if new or finished_too:
-                            dirty.append((not new, block))
+                for block in job.dirty.values():
+                    new = any(not claim.recorded for claim in block.claims.values())
+                    if new or finished_too:
+                        dirty.append((not new, block))
         dirty.sort(key=lambda one: one[0])
         for _, block in dirty:
             if txn.ops >= self.most or txn.size > BYTES:
@@ -115,6 +114,8 @@
         """The transaction is on record."""
         for block, version, claims in txn.blocks:
             block.stamp, block.written = ledger, version
+            if block.settled:
+                block.job.dirty.pop(block.number, None)
             for claim in claims:
                 claim.recorded = True
                 machine = self.desk.machines.get(claim.host)
--- a/ladderfield/http.py
+++ b/ladderfield/http.py
@@ -93,7 +93,8 @@
         """The next whole request, or None when the peer is gone, silent for long or too slow."""
         head: h11.Request | None = None
         body = bytearray()
-        limit = trio.current_time() + self.idle_s
+        # Over the limit a connection is kept just long enough to be told so.
+        limit = trio.current_time() + (self.idle_s if self.open <= self.most else self.request_s / 10)
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -81,6 +81,7 @@
     def touch(self) -> None:
         """The record has to be written again."""
         self.version += 1
+        self.job.dirty[self.number] = self
 
     def span(self) -> range:
         """The block's tasks."""
@@ -101,6 +102,7 @@
         "block",
         "blocks",
         "claims",
+        "dirty",
         "done",
         "errors",
         "failed_hosts",
@@ -122,6 +124,7 @@
         self.spec, self.uid, self.at, self.block, self.stamp = spec, spec.uid, at, block, stamp
         self.final: str | None = None  # "cancelled" once on record
         self.blocks: dict[int, Block] = {}
+        self.dirty: dict[int, Block] = {}  # blocks whose record is behind
         self.next_block = 0  # blocks are opened in order, as there is use for them
         self.undealt: list[int] = []  # tasks of opened blocks, in no machine's queue
         self.queued = 0  # tasks in machines' queues
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -11,7 +11,7 @@
 from ladderfield.foreman.actor import Foreman
 from ladderfield.http import Reply, Request, Server
 from ladderfield.jobs.door import SUBMIT_S, Door
-from ladderfield.jobs.model import TYPES
+from ladderfield.jobs.model import TYPES, parse_types
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import HEALTH, RELAY, BackServer, PeerLink
 from ladderfield.settings import Settings, address
@@ -79,8 +79,9 @@
                 try:
                     await self.cloud.idle_budget.take()
                     kinds = await self.cloud.types()
-                    await self.client.writes.take()
-                    await self.client.commit({TYPES: 0}, {TYPES: kinds}, [], pause)
+                    if parse_types(kinds):
+                        await self.client.writes.take()
+                        await self.client.commit({TYPES: 0}, {TYPES: kinds}, [], pause)
                 except (CloudTrouble, Unavailable) as error:
                     log.info("machine types: %s", error)
             await trio.sleep(pause / 4 if self.view.get(TYPES) is None else pause)
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -10,8 +10,9 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar
 
+import msgspec
 import trio
 
 from ladderfield.budget import Budget
@@ -24,6 +25,38 @@
 NOWHERE = "lf-none/"  # no key ever has this prefix: listing it returns the ledger and nothing else
 
 
+class Pair(msgspec.Struct, frozen=True):
+    """A key as the service lists it."""
+
+    key: str
+    stamp: int
+    value: Any = None
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Some of our keys."""
+
+    pairs: list[Pair]
+    ledger: int
+    more: bool = msgspec.field(name="hasNext", default=False)
+
+
+class Event(msgspec.Struct, frozen=True):
+    """A change: of ``put``, or the end of ``delete``."""
+
+    stamp: int
+    put: str | None = None
+    delete: str | None = None
+    value: Any = None
+
+
+class Watched(msgspec.Struct, frozen=True):
+    """What a watch tells."""
+
+    ledger: int
+    events: list[Event]
+
+
 class Unavailable(Exception):
     """The state service did not carry the request out, or did not say that it has."""
 
@@ -77,13 +110,11 @@
             raise Unavailable(f"no ledger: {status}")
         return ledger
 
-    async def page(self, after: str, timeout: float) -> dict[str, Any]:
+    async def page(self, after: str, timeout: float) -> Page:
         """One page of our keys."""
         target = f"/keys?starts={PREFIX}&limit=1000" + (f"&after={after}" if after else "")
         status, answer = await self._call("GET", target, None, timeout)
-        if status != 200 or not isinstance(answer.get("pairs"), list) or not isinstance(answer.get("ledger"), int):
-            raise Unavailable(f"no page: {status}")
-        return answer
+        return _checked(status, answer, Page)
 
     async def stamp(self, key: str, timeout: float) -> int:
         """A key's present version; 0 if it does not exist."""
@@ -132,15 +163,24 @@
         status, _ = await self._call("POST", f"/grants/{hold}/touch", {}, timeout)
         return status == 200
 
-    async def watch(self, after: int, wait_s: float) -> dict[str, Any] | None:
+    async def watch(self, after: int, wait_s: float) -> Watched | None:
         """Changes after a revision, or None if the service no longer keeps that far back."""
         target = f"/watch?starts={PREFIX}&after={after}&waitMs={round(wait_s * 1000)}"
         status, answer = await self._call("GET", target, None, wait_s * 2, self._watcher)
-        if status == 410:
-            return None
-        if status != 200 or not isinstance(answer.get("ledger"), int) or not isinstance(answer.get("events"), list):
-            raise Unavailable(f"watch: {status}")
-        return answer
+        return None if status == 410 else _checked(status, answer, Watched)
+
+
+Answer = TypeVar("Answer")
+
+
+def _checked(status: int, answer: dict[str, Any], kind: type[Answer]) -> Answer:
+    """The answer as what it should be; a strange one counts as none."""
+    if status != 200:
+        raise Unavailable(f"{kind.__name__}: {status}")
+    try:
+        return msgspec.convert(answer, kind)
+    except msgspec.ValidationError as error:
+        raise Unavailable(f"{kind.__name__}: {error}") from None
 
 
 class Change:
@@ -180,10 +220,6 @@
         found = self.data.get(key)
         return 0 if found is None else found[1]
 
-    def keys(self, prefix: str) -> list[str]:
-        """All keys under a prefix."""
-        return [key for key in self.data if key.startswith(prefix)]
-
     @asynccontextmanager
     async def subscribe(self) -> AsyncIterator[trio.MemoryReceiveChannel[list[Change]]]:
         """Batches of changes from now on. A slow reader holds the view back instead of losing changes."""
@@ -197,13 +233,16 @@
 
     async def run(self) -> None:
         """Follow the service for ever."""
+        told = False
         while True:
             try:
                 await self._load()
+                told = False
                 while await self._follow():
                     pass
             except Unavailable as error:
-                log.info("the view waits: %s", error)
+                log.log(logging.DEBUG if told else logging.INFO, "the view waits: %s", error)
+                told = True
                 await trio.sleep(self._patience / 4)
 
     async def _load(self) -> None:
@@ -212,11 +251,11 @@
         after, first = "", None
         while True:
             page = await self.client.page(after, self._patience * 4)
-            first = page["ledger"] if first is None else first
-            for pair in page["pairs"]:
-                after = pair["key"]
-                data[after] = (pair.get("value"), pair["stamp"])
-            if not page.get("hasNext"):
+            first = page.ledger if first is None else first
+            for pair in page.pairs:
+                after = pair.key
+                data[after] = (pair.value, pair.stamp)
+            if not page.more or not page.pairs:
                 break
         changes = [Change(key, value, stamp) for key, (value, stamp) in data.items() if self.stamp(key) != stamp]
         changes += [Change(key, None, first) for key in self.data if key not in data]
@@ -241,15 +280,14 @@
         if answer is None:
             return False
         changes = []
-        for event in answer["events"]:
-            if "put" in event:
-                change = Change(event["put"], event.get("value"), event["stamp"])
-                self.data[change.key] = (change.value, change.stamp)
-            else:
-                change = Change(event["delete"], None, event["stamp"])
-                self.data.pop(change.key, None)
-            changes.append(change)
-        await self._reached(max(answer["ledger"], self.ledger), changes)
+        for event in answer.events:
+            if event.put is not None:
+                changes.append(Change(event.put, event.value, event.stamp))
+                self.data[event.put] = (event.value, event.stamp)
+            elif event.delete is not None:
+                changes.append(Change(event.delete, None, event.stamp))
+                self.data.pop(event.delete, None)
+        await self._reached(max(answer.ledger, self.ledger), changes)
         return True
 
     async def _reached(self, ledger: int, changes: list[Change]) -> None:
