--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from ladderfield.foreman.desk import Desk
@@ -41,8 +42,20 @@
     """A machine, real or planned, as the plan fills it."""
 
     __slots__ = (
-        "cpus", "for_arrays", "gpus", "host", "idle", "kind", "lower", "memory_gb", "needed", "running", "spot", "zone",
-    )  # fmt: skip
+        "cpus",
+        "for_arrays",
+        "gpus",
+        "host",
+        "idle",
+        "images",
+        "kind",
+        "lower",
+        "memory_gb",
+        "needed",
+        "running",
+        "spot",
+        "zone",
+    )
 
     def __init__(
         self, machine: Machine | None, kind: MachineType | None = None, zone: str = "", spot: bool = False
@@ -51,6 +64,7 @@
         assert source is not None
         self.cpus, self.gpus, self.memory_gb = source.cpus, source.gpus, source.memory_gb
         self.host, self.needed = None, False
+        self.images: Collection[str] = ()
         self.lower = [0.0, 0.0, 0.0]  # what tasks hold that would give way to a service
         self.running = 0.0  # array work under way, in cpu-seconds
         if machine is None:
@@ -58,6 +72,7 @@
             self.kind, self.zone, self.spot = kind, zone, spot
         else:
             self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
+            self.images = machine.cached
             for claim in machine.claims.values():
                 spec = claim.job.spec
                 if not spec.service:
@@ -136,16 +151,16 @@
         desk = self.desk
         for job in jobs:
             self._give(job.spec, min(job.waiting, desk.teams.room(job.spec)), rooms, planned, now, soon=True)
-        for job_class, spec in desk.outlook.latest.items():
+        for stream, spec in desk.outlook.latest.items():
             offer = self._best(spec, 1, (True, False), now)
             if offer is not None:
-                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(job_class, now) * spec.tasks
+                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(stream, now) * spec.tasks
                 self._give(spec, math.ceil(coming + SPARE * math.sqrt(coming)), rooms, planned, now)
 
     def _give(
         self, spec: JobSpec, need: int, rooms: list[Room], planned: dict[Offer, int], now: float, soon: bool = False
     ) -> None:
-        for room in sorted(rooms, key=lambda one: (one.idle, one.cpus)):
+        for room in sorted(rooms, key=lambda one: (spec.image not in one.images, one.idle, one.cpus)):
             if need > 0 and room.allows(spec):
                 need -= room.place(spec, need)
         while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)):
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -296,19 +296,28 @@
                 self._to_push.add(machine.host)
         if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.report_s:
             self._planned_at = now
-            for machine in self.planner.returns(now):
-                log.info("machine %s: idle, returned", machine.host)
-                machine.deleting = True
-                self.desk.queues.withdraw(machine)
-                doomed.append(machine.host)
-            if not self._renting:
-                for rental in self.planner.rentals(now):
-                    self._rent(rental)
+            try:
+                doomed += self._plan(now)
+            except Exception:
+                # A plan only reads the tables. Running without one for a while beats ending a foreman over it.
+                log.exception("epoch %d: no plan", self.term.epoch)
         due = [host for host in doomed if host not in self._deleting][:DELETE_MOST]
         if due and self.term.may_start(now):
             self._deleting.update(due)
             self.nursery.start_soon(self._delete, due)
 
+    def _plan(self, now: float) -> list[str]:
+        """Rent and return; answers what is to be deleted."""
+        returned = self.planner.returns(now)
+        for machine in returned:
+            log.info("machine %s: idle, returned", machine.host)
+            machine.deleting = True
+            self.desk.queues.withdraw(machine)
+        if not self._renting:
+            for rental in self.planner.rentals(now):
+                self._rent(rental)
+        return [machine.host for machine in returned]
+
     def _restless(self, machine: Machine, now: float) -> bool:
         """Whether something waits to be told, and pushing may help."""
         return any(claim.stopping is not None and claim.stop_at == 0 for claim in machine.claims.values())
--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -11,6 +11,7 @@
 
 STEP = 8.0  # of report_s: due times closer together than this are equal, and the design's pick decides
 MEMORY = 60.0  # of report_s: how far back arrivals count
+Stream = tuple[str, str]  # class and image: what a warm machine has to match
 LEARN = 0.1  # weight of a new run time in a class's bias
 
 
@@ -20,8 +21,8 @@
     def __init__(self, settings: Settings) -> None:
         self.report_s = settings.cluster.workers.report_s
         self.bias: dict[str, float] = {}  # of a class: log of true over estimated run time
-        self.arrivals: dict[str, deque[float]] = defaultdict(deque)  # services by class
-        self.latest: dict[str, JobSpec] = {}  # of each class of services, the job seen last
+        self.arrivals: dict[Stream, deque[float]] = defaultdict(deque)  # of services
+        self.latest: dict[Stream, JobSpec] = {}  # the job seen last
         self.aims: dict[str, list[float]] = defaultdict(list)  # of a class: times to be finished within
         for objective in settings.cluster.objectives:
             if objective.kind == "finished" and objective.job_class and objective.within_s:
@@ -33,12 +34,12 @@
     def arrived(self, spec: JobSpec, at: float) -> None:
         """A job was accepted."""
         if spec.service:
-            self.arrivals[spec.job_class].append(at)
-            self.latest[spec.job_class] = spec
+            self.arrivals[spec.job_class, spec.image].append(at)
+            self.latest[spec.job_class, spec.image] = spec
 
-    def rate(self, job_class: str, now: float) -> float:
-        """Tasks of a class of services that arrive per second, as of late."""
-        times, span = self.arrivals[job_class], MEMORY * self.report_s
+    def rate(self, stream: Stream, now: float) -> float:
+        """Services of a class and image that arrive per second, as of late."""
+        times, span = self.arrivals[stream], MEMORY * self.report_s
         while times and times[0] < now - span:
             times.popleft()
         return len(times) / span
