--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -292,7 +292,7 @@
     def _on_tick(self, message: Tick, now: float) -> None:
         doomed = self.desk.sweep(now)
         for machine in self.desk.machines.values():
-            if machine.claims and machine.epoch == self.term.epoch and self._restless(machine, now):
+            if machine.claims and machine.epoch == self.term.epoch and self._restless(machine):
                 self._to_push.add(machine.host)
         if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.report_s:
             self._planned_at = now
@@ -318,9 +318,10 @@
                 self._rent(rental)
         return [machine.host for machine in returned]
 
-    def _restless(self, machine: Machine, now: float) -> bool:
-        """Whether something waits to be told, and pushing may help."""
-        return any(claim.stopping is not None and claim.stop_at == 0 for claim in machine.claims.values())
+    @staticmethod
+    def _restless(machine: Machine) -> bool:
+        """Whether a stop has not been told yet."""
+        return any(claim.stopping is not None and claim.stop_at == -math.inf for claim in machine.claims.values())
 
     def _rent(self, rental: Rental) -> None:
         self._hires += 1
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
@@ -131,7 +132,7 @@
             on_it = attempt == claim.attempt
             if claim.stopping is not None:
                 if on_it and phase != "exited" and now - claim.stop_at > resend:
-                    again = claim.stop_at > 0
+                    again = claim.stop_at > -math.inf
                     claim.stop_at = now
                     result.append(self._stop(claim.task, claim.attempt, 0.0 if again else self._wind_down(claim)))
                 continue
--- /dev/null
+++ b/ladderfield/jobs/test_jobs.py
@@ -0,0 +1,142 @@
+"""What is a job, what can never run, and how the door answers what it can't take."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from ladderfield.http import Client, Request
+from ladderfield.jobs.door import Door
+from ladderfield.jobs.model import JobSpec, Malformed, impossible, parse, parse_types
+from ladderfield.settings import Team
+from ladderfield.state import StateClient, View
+from ladderfield.testing import TYPES, Net, StateService, job, settings
+
+KINDS = parse_types(TYPES)
+TEAMS = {"red": Team("red", cpus_max=16.0), "blue": Team("blue")}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"rungs": 0}, {"rungs": 100_001}, {"rungs": True}, {"rungs": "3"}, {"rungs": 1.5}, {"cores": -1.0},
+        {"cores": True}, {"cores": None}, {"memoryGb": 1e300}, {"uid": "job-1"}, {"uid": "req-"}, {"uid": 7},
+        {"uid": "req-1/../2"}, {"shape": "gang"}, {"rank": "top"}, {"loaners": 1}, {"flavours": "m4"}, {"dueS": -1.0},
+    ],
+)  # fmt: skip
+def test_malformed_jobs_are_refused(change: dict[str, Any]) -> None:
+    with pytest.raises(Malformed):
+        parse(msgspec.json.encode(job(**change)))
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"cores": NaN}', b"\xff\xfe", b"[" * 60_000, b"1e999"])
+def test_what_is_no_object_is_refused(body: bytes) -> None:
+    with pytest.raises(Malformed):
+        parse(body)
+
+
+def test_infinite_amounts_and_missing_fields_are_refused() -> None:
+    text = msgspec.json.encode(job())
+    with pytest.raises(Malformed):
+        parse(text.replace(b'"cores":2.0', b'"cores":1e999'))
+    short = job()
+    del short["bundle"]
+    with pytest.raises(Malformed):
+        parse(msgspec.json.encode(short))
+
+
+def test_nullable_fields_may_be_absent_and_unknown_ones_are_ignored() -> None:
+    spec = job(colour="green")
+    for field in ("flavours", "yard", "dueS"):
+        del spec[field]
+    assert parse(msgspec.json.encode(spec)).types is None
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({}, None), ({"owner": "grey"}, "team"), ({"cores": 5.0}, "type"), ({"flavours": ["m8"]}, "type"),
+        ({"flavours": []}, "type"), ({"yard": "zz"}, "type"), ({"rungs": 9}, None),
+        ({"rungs": 9, "shape": "daemon"}, "limit"), ({"rungs": 8, "shape": "daemon"}, None),
+        ({"rungs": 9, "shape": "daemon", "owner": "blue"}, None),
+    ],
+)  # fmt: skip
+def test_what_can_never_run(change: dict[str, Any], reason: str | None) -> None:
+    why = impossible(msgspec.convert(job(**change), JobSpec), KINDS, TEAMS)
+    assert (why is None) if reason is None else (why is not None and reason in why)
+
+
+async def _door(monkeypatch: pytest.MonkeyPatch, nursery: trio.Nursery) -> tuple[Door, StateService]:
+    net, service = Net(nursery), StateService()
+    net.http("10.2.0.1:23", service)
+    monkeypatch.setattr("ladderfield.http.connect", net.connect)
+    service.keys["lf/types"] = (TYPES, 1, None)
+    client = StateClient(settings())
+    view = View(client, settings())
+    nursery.start_soon(view.run)
+    nursery.start_soon(view.run_reads)
+    await trio.sleep(0.1)
+    return Door(settings(), client, view), service
+
+
+async def test_overload_is_answered_at_once_with_a_time_to_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, _ = await _door(monkeypatch, nursery)
+        door.busy = door.room
+        begin = trio.current_time()
+        reply = await door(Request("POST", "/api/jobs", msgspec.json.encode(job())))
+        assert reply is not None and reply.status == 503 and reply.retry_after
+        door.busy = 0
+        await door.client.writes.take(1000, urgent=True)
+        reply = await door(Request("POST", "/api/jobs", msgspec.json.encode(job())))
+        assert reply is not None and reply.status == 503 and reply.retry_after
+        assert trio.current_time() - begin < 0.1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_burst_of_polls_shares_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        before = service.calls
+        statuses: list[int] = []
+
+        async def poll() -> None:
+            reply = await door(Request("GET", "/api/jobs/req-000001", b""))
+            assert reply is not None
+            statuses.append(reply.status)
+
+        async with trio.open_nursery() as polls:
+            for _ in range(50):
+                polls.start_soon(poll)
+        assert statuses == [404] * 50 and service.calls - before <= 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_known_job_is_never_refused_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        body = msgspec.json.encode(job())
+        first = await door(Request("POST", "/api/jobs", body))
+        service.keys["lf/types"] = ([], 0, None)
+        door.teams.clear()
+        again = await door(Request("POST", "/api/jobs", body))
+        assert first is not None and again is not None and (first.status, again.status) == (201, 200)
+        nursery.cancel_scope.cancel()
+
+
+async def test_strange_answers_of_the_state_service_count_as_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, _ = await _door(monkeypatch, nursery)
+
+        async def strange(*_: Any, **__: Any) -> tuple[int, bytes]:
+            return 200, b'{"ledger": "many", "pairs": 3}'
+
+        monkeypatch.setattr(Client, "call", strange)
+        reply = await door(Request("GET", "/api/jobs/req-000001", b""))
+        assert reply is not None and reply.status == 503
+        reply = await door(Request("POST", "/api/jobs", msgspec.json.encode(job())))
+        assert reply is not None and reply.status == 503
+        nursery.cancel_scope.cancel()
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
@@ -52,7 +53,7 @@
         self.sent_at = 0.0
         self.sent_tick = 0  # the report whose answer carried it
         self.stopping: str | None = None  # why it is being stopped
-        self.stop_at = 0.0  # when the stop was last sent
+        self.stop_at = -math.inf  # when the stop was last sent
         self.helped: str | None = None  # the machine from whose queue it was taken
 
     @property
