--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -195,10 +195,12 @@
 
 def test_quota_counts_claims_and_holds_within_one_pass() -> None:
     stage = Stage()
-    for number in range(1, 5):
-        stage.submit(f"req-{number:06d}", rungs=4)
     for host in range(12):
         stage.report(f"m{host}")
+    for number in range(1, 5):
+        stage.submit(f"req-{number:06d}", rungs=4)
+    while stage.desk.changed:
+        stage.desk.schedule(2.0)
     assert stage.desk.teams.cpus["red"] == 16.0
 
 
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -202,6 +202,18 @@
         assert await whole.phase(1, uid) == "cancelled"
 
 
+async def test_a_late_submission_does_not_bring_a_job_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The job came to its end at another controller before this one's view heard of it."""
+    async with cluster(monkeypatch) as whole:
+        whole.state.watch_lag = 0.5
+        spec = job()
+        whole.jobs[spec["uid"]] = spec
+        final = {"put": f"lf/f/{spec['uid']}", "value": {"phase": "cancelled"}}
+        await whole.state._multi({"guards": [], "apply": [final]})
+        status, answer = await whole.call(1, "POST", "/api/jobs", spec)
+        assert (status, answer["phase"]) == (200, "cancelled")
+
+
 async def test_cancel_is_durable_and_takes_all_tasks_off(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=4)
--- /dev/null
+++ b/ladderfield/workers/test_workers.py
@@ -0,0 +1,46 @@
+"""Who gets a report relayed, and which reports are refused."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from ladderfield.leadership import EPOCH, FOREMAN, Leadership
+from ladderfield.peers import PeerLink
+from ladderfield.settings import Peer
+from ladderfield.state import StateClient, View
+from ladderfield.testing import settings
+from ladderfield.workers.intake import ReportDesk
+from ladderfield.workers.report import Report, parse_report
+
+RAW = {
+    "host": "i-1", "endpoint": "10.9.0.1:90", "flavour": "m4", "yard": "za", "loaners": False,
+    "tenure": 1, "tick": 1, "epoch": 0, "rungs": [],
+}  # fmt: skip
+
+
+async def test_a_worker_is_sent_to_the_foreman_first_and_relayed_when_it_comes_back() -> None:
+    own = settings(1)
+    client = StateClient(own)
+    view = View(client, own)
+    view.data = {FOREMAN: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
+    desk = ReportDesk(own, Leadership(own, client, view), {})
+    link = PeerLink(Peer("n0", "10.0.0.1:81"))
+    fresh, known = (msgspec.convert(RAW | {"host": h, "epoch": e}, Report) for h, e in (("i-1", 0), ("i-2", 4)))
+    assert not desk._cut_off(fresh, link, 100.0), "new: sent to the foreman"
+    assert desk._cut_off(fresh, link, 102.0), "came back: relayed"
+    assert desk._cut_off(fresh, link, 130.0), "and stays relayed for some leases"
+    assert not desk._cut_off(fresh, link, 170.0), "then it is sent there again"
+    assert desk._cut_off(known, link, 100.0), "has the foreman's epoch, so it was there and left: relayed once"
+    assert not desk._cut_off(known, link, 102.0)
+    link.reachable = False
+    assert desk._cut_off(msgspec.convert(RAW | {"host": "i-3"}, Report), link, 100.0), "we can't reach it either"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"host": 3}, {"tenure": -1}, {"tick": 2**64}, {"rungs": 1}, {"rungs": [{"rung": "x", "try": 1, "phase": "y"}]}],
+)  # fmt: skip
+def test_malformed_reports_are_refused(change: dict) -> None:
+    with pytest.raises(ValueError):
+        parse_report(msgspec.json.encode(RAW | change))
