--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -9,7 +9,7 @@
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.ledger import Ledger
 from ladderfield.jobs.model import TYPES as TYPES_KEY
-from ladderfield.leadership import EPOCH
+from ladderfield.leadership import EPOCH, Term
 from ladderfield.state import Change
 from ladderfield.testing import TYPES, job, settings
 from ladderfield.workers.machine import CLOCKS, Machine
@@ -302,3 +302,15 @@
     txn = stage.ledger.collect(True)
     assert txn is not None and set(txn.puts) <= {"lf/b/req-000001/0", "lf/b/req-000001/1"}
     assert len(msgspec.json.encode(txn.puts["lf/b/req-000001/0"])) < 16 * 1024
+
+
+def test_a_foreman_that_stood_still_does_no_harm() -> None:
+    """Incident inc-5681: a process woke up after its successor's term had begun, and saw all leases over."""
+    term = Term(EPOCH_NOW, 3, 1, renewed_at=100.0, ttl=2.0)
+    assert term.may_start(101.9)
+    assert not term.may_start(132.0), "it starts, rents and deletes nothing before it has renewed its lease"
+    stage = Stage()
+    launched(stage, 1)
+    stage.desk.sweep(33.0)
+    txn = stage.ledger.collect(True)
+    assert txn is not None and txn.guards[EPOCH] == 3, "and what it would record fails on the epoch"
