--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -13,7 +13,7 @@
 
 from ladderfield.foreman.desk import Desk
 from ladderfield.jobs.model import PRODUCTION, JobSpec, MachineType, fits
-from ladderfield.queues.work import Job
+from ladderfield.queues.work import Claim, Job
 from ladderfield.workers.machine import SLACK, Machine
 
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
@@ -52,7 +52,6 @@
         "lower",
         "memory_gb",
         "needed",
-        "running",
         "spot",
         "zone",
     )
@@ -66,7 +65,6 @@
         self.host, self.needed = None, False
         self.images: Collection[str] = ()
         self.lower = [0.0, 0.0, 0.0]  # what tasks hold that would give way to a service
-        self.running = 0.0  # array work under way, in cpu-seconds
         if machine is None:
             assert kind is not None
             self.kind, self.zone, self.spot = kind, zone, spot
@@ -75,11 +73,9 @@
             self.images = machine.cached
             for claim in machine.claims.values():
                 spec = claim.job.spec
-                if not spec.service:
-                    self.running += spec.cpus * spec.estimate_s / 2
-                    if spec.rank != PRODUCTION:
-                        held = (spec.cpus, spec.gpus, spec.memory_gb)
-                        self.lower = [a + b for a, b in zip(self.lower, held, strict=True)]
+                if not spec.service and spec.rank != PRODUCTION:
+                    held = (spec.cpus, spec.gpus, spec.memory_gb)
+                    self.lower = [a + b for a, b in zip(self.lower, held, strict=True)]
         self.for_arrays = self.cpus + self.lower[0]
         self.idle = machine is not None and not machine.claims
 
@@ -172,7 +168,7 @@
 
     def _arrays(self, jobs: list[Job], rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
         desk = self.desk
-        load = sum(room.running for room in rooms)
+        load = sum(self._remaining(claim, now) for one in desk.machines.values() for claim in one.claims.values())
         for job in jobs:
             spec, run = job.spec, desk.outlook.run_s(job)
             tasks = min(job.waiting, desk.teams.room(spec))
@@ -194,6 +190,14 @@
                         break
                     tasks -= placed
 
+    def _remaining(self, claim: Claim, now: float) -> float:
+        """The cpu-seconds that a running array task still needs; one that overstays its estimate needs some more."""
+        if claim.job.spec.service:
+            return 0.0
+        run = self.desk.outlook.run_s(claim.job)
+        ran = 0.0 if claim.running_at is None else now - claim.running_at
+        return claim.job.spec.cpus * max(run - ran, run / 4)
+
     def _plan(self, offer: Offer, rooms: list[Room], planned: dict[Offer, int]) -> Room:
         room = Room(None, self.desk.types[offer[0]], offer[1], offer[2])
         rooms.append(room)
