--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -102,6 +102,10 @@
         self.hosts, self.sure = hosts, sure
 
 
+class Sole:
+    """Every other controller has said, since our term began, that it is not foreman."""
+
+
 class Tick:
     """Time passes."""
 
@@ -169,6 +173,7 @@
             Seen: self._on_seen,
             Rented: self._on_rented,
             Deleted: self._on_deleted,
+            Sole: self._on_sole,
             Tick: self._on_tick,
         }
         while True:
@@ -289,6 +294,9 @@
                 self.desk.forget(host, now)
                 self._clients.pop(host, None)
 
+    def _on_sole(self, message: Sole, now: float) -> None:
+        self.desk.sole(now)
+
     def _on_tick(self, message: Tick, now: float) -> None:
         doomed = self.desk.sweep(now)
         for machine in self.desk.machines.values():
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -42,7 +42,8 @@
 
     def __init__(self, settings: Settings, epoch: int, now: float, wall: float, grace_s: float) -> None:
         workers = settings.cluster.workers
-        self.settings, self.epoch, self.term_from, self.grace_s = settings, epoch, now, grace_s
+        self.settings, self.epoch, self.term_from = settings, epoch, now
+        self.others_until = now + grace_s  # an earlier foreman may answer reports until then
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
         self.jobs: dict[str, Job] = {}
@@ -237,6 +238,12 @@
             machine.sick = True
             self.queues.withdraw(machine)
 
+    def sole(self, now: float) -> None:
+        """All other controllers have said, since our term began, that they are not foreman: no one else answers."""
+        if now < self.others_until:
+            log.info("epoch %d: no earlier foreman is left", self.epoch)
+            self.others_until = now
+
     def forget(self, host: str, now: float) -> None:
         """The machine is gone for good: its deletion was answered."""
         self.gone[host] = None
@@ -259,7 +266,9 @@
         for machine in self.machines.values():
             heard = machine.heard_at if machine.heard_at is not None else self.term_from
             silent = now - heard
-            if machine.claims and now > machine.lease_over_at(self.epoch, self.term_from, self.grace_s, self.lease_s):
+            if machine.claims and now > machine.lease_over_at(
+                self.epoch, self.term_from, self.others_until, self.lease_s
+            ):
                 log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
                 self.queues.withdraw(machine)
                 for claim in list(machine.claims.values()):
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -183,6 +183,15 @@
     assert not stage.machine().claims
 
 
+def test_the_wait_for_earlier_foremen_ends_when_all_others_say_they_follow() -> None:
+    stage = Stage(inherited())
+    stage.desk.sole(3.0)
+    stage.desk.sweep(3.0 + 12.0)
+    assert stage.machine().claims, "but the lease itself may have been renewed until then"
+    stage.desk.sweep(3.0 + 12.0 * CLOCKS + 0.01)
+    assert not stage.machine().claims
+
+
 def test_a_lease_is_counted_from_our_last_answer() -> None:
     stage = Stage()
     launched(stage, 1)
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -104,6 +104,7 @@
         guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
         epoch = self.known_epoch() + 1
         timeout = self.ttl / 2
+        asked = trio.current_time()
         hold = await self.client.grant(self.ttl, timeout)
         sent = trio.current_time()
         puts = {FOREMAN: {"member": self.settings.member}, EPOCH: {"epoch": epoch}}
@@ -112,6 +113,9 @@
             with trio.move_on_after(timeout):
                 await self.view.reach(outcome.ledger)
             return None
+        if trio.current_time() > asked + self.ttl:
+            # We stood still meanwhile. The lease may be over, others may have heard from us that we are not foreman.
+            return None
         log.info("epoch %d: foreman is %s", epoch, self.settings.member)
         return Term(epoch, outcome.ledger, hold, sent, self.ttl)
 
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,7 +1,7 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
 Only two things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
-controller; and a controller that the state service turns away learns whether it is alone with that.
+controller; and each learns how the others are: whether the state service serves them, and that they are not foreman.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
 
@@ -25,6 +25,7 @@
 MAGIC, VERSION = b"lf", 1
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH = 1, 2, 3
+LEADS, FOLLOWS = b"L", b"F"  # in the answer to HEALTH
 AT_ONCE = 8  # questions to one peer
 
 
@@ -107,6 +108,7 @@
         self._busy = 0
         self.reachable = True  # as of the last question
         self.state_ok = False  # whether the state service serves it, as it last said
+        self.leads = True  # whether it may be foreman, as it last said; silence proves nothing
 
     async def ask(self, kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
         """The answer's status and body, or None."""
@@ -137,3 +139,4 @@
         """Ask how the other controller is."""
         answer = await self.ask(HEALTH, b"", timeout)
         self.state_ok = answer is not None and answer[0] == 200
+        self.leads = answer is None or answer[1] != FOLLOWS
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -8,12 +8,12 @@
 import trio
 
 from ladderfield.fleet.cloud import Cloud, CloudTrouble
-from ladderfield.foreman.actor import Foreman
+from ladderfield.foreman.actor import Foreman, Sole
 from ladderfield.http import Reply, Request, Server
 from ladderfield.jobs.door import SUBMIT_S, Door
 from ladderfield.jobs.model import TYPES, parse_types
 from ladderfield.leadership import Leadership, Term
-from ladderfield.peers import HEALTH, RELAY, BackServer, PeerLink
+from ladderfield.peers import FOLLOWS, HEALTH, LEADS, RELAY, BackServer, PeerLink
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.intake import ReportDesk
@@ -49,17 +49,26 @@
         if kind == RELAY:
             return await self.reports.relayed(body, status)
         if kind == HEALTH:
-            return (200 if self.door.state_ok else 503), b""
+            leads = self.leadership.term is not None or self.reports.inbox is not None
+            return (200 if self.door.state_ok else 503), LEADS if leads else FOLLOWS
         return 400, b""
 
     async def run_health(self) -> None:
         """Know whether the state service serves us, and how the others are."""
         pause = self.settings.cluster.workers.report_s / 2
         while True:
+            term = self.leadership.term
             async with trio.open_nursery() as nursery:
                 for link in self.links.values():
                     nursery.start_soon(link.check, pause)
                 self.door.state_ok = await self.view.fresh(pause)
+            if (
+                term is not None
+                and term is self.leadership.term
+                and not any(link.leads for link in self.links.values())
+            ):
+                # All were asked after our term began, so no earlier foreman is left to keep leases alive.
+                self.reports.tell_foreman(Sole())
             await trio.sleep(pause)
 
     async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -108,12 +108,19 @@
             return await self._relay(link, body, hops) or (421, b"{}")
         return 421, b"{}"
 
-    async def _ask_foreman(self, report: Report) -> Reply:
-        message = Reported(report)
+    def tell_foreman(self, message: object) -> bool:
+        """Put a message into the foreman's inbox; False if it is full, or we aren't foreman."""
+        if self.inbox is None:
+            return False
         try:
-            assert self.inbox is not None
             self.inbox.send_nowait(message)
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
+
+    async def _ask_foreman(self, report: Report) -> Reply:
+        message = Reported(report)
+        if not self.tell_foreman(message):
             return Reply(503, {})
         with trio.move_on_after(WORKER_S * ANSWER_BY):
             await message.done.wait()
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -120,15 +120,15 @@
             and not (self.deleting or self.sick)
         )
 
-    def lease_over_at(self, epoch: int, term_from: float, grace_s: float, lease_s: float) -> float:
+    def lease_over_at(self, epoch: int, term_from: float, others_until: float, lease_s: float) -> float:
         """When its lease is surely over.
 
         It runs from our last answer, or from the session's begin, which came before we last heard of it. Until
-        the machine has accepted our epoch, an earlier foreman may be answering it as well, as long as its grace lasts.
+        the machine has accepted our epoch, an earlier foreman may be answering it as well: until ``others_until``.
         """
         last = max(term_from, self.answered_at or term_from, self.heard_at or term_from)
         if self.epoch != epoch:
-            last = max(last, term_from + grace_s)
+            last = max(last, others_until)
         return last + lease_s * CLOCKS
 
     def learn(self, endpoint: str, kind: MachineType, zone: str, spot: bool) -> None:
