--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -27,6 +28,7 @@
 
 # Ratios to the workers' pace.
 SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
+OVERDUE = 1.5  # of report_s: a report is missing, so no replica is put there and no room cleared for one
 LOST = 3.0  # of report_s: given up, and deleted so that its claims end
 LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
 CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
@@ -182,13 +184,18 @@
         # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
         # dear and the empty run dry and can be returned.
         free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
+        # After a takeover everybody is late, as workers first have to find the new foreman.
+        late = OVERDUE * self.report_s if now - self.term_from > SILENT * self.report_s else math.inf
+        prompt = [machine for machine in machines if machine.heard_at is not None and now - machine.heard_at <= late]
         for owed, tier in ready:
             rank = next(iter(tier)).order[0]
             for score in (1, 0):
                 if score == 0 and rank == 0:
                     for job in tier:
-                        self.room.for_replicas(job, machines, now)
+                        self.room.for_replicas(job, prompt, now)
                 for machine in free:
+                    if rank == 0 and machine not in prompt:
+                        continue
                     if now < machine.hold_until and rank > machine.hold_rank:
                         continue
                     made += self._fill(machine, machines, tier, owed, score, now)
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -275,6 +275,16 @@
     assert {claim.stopping for claim in calm.machine().claims.values()} == {None}
 
 
+def test_no_replica_goes_where_a_report_is_missing() -> None:
+    """Hunt day 937d-5: room was cleared on machines that were just being cut off."""
+    stage = Stage()
+    stage.report("late", now=10.0)
+    stage.report("prompt", now=13.0)
+    stage.submit(rank="production", shape="daemon", cores=4.0, rungs=2)
+    stage.desk.schedule(13.5)
+    assert not stage.machine("late").claims and len(stage.machine("prompt").claims) == 1
+
+
 def test_a_guarantee_takes_back_what_was_borrowed_after_a_wait() -> None:
     stage = Stage()
     stage.submit("req-000002", owner="blue", rungs=2)
