--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -353,6 +353,7 @@
         pause = self.report_s / 10
         async for txn in self._txn_inbox:
             while True:
+                await self.client.foreman_calls.take()
                 await self.client.foreman_writes.take(txn.ops)
                 try:
                     outcome = await self.client.commit(txn.guards, txn.puts, txn.deletes, self.report_s)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -83,7 +83,7 @@
         if job is None:
             self.orphans[key] = stamp
             return
-        block = job.load(int(number), value, stamp, now)
+        block = job.load(int(number), value, stamp)
         for claim in block.claims.values():
             machine = self.machines.get(claim.host)
             if machine is None:
@@ -127,7 +127,7 @@
     def claim(self, job: Job, index: int, machine: Machine, helped: str, now: float) -> Claim:
         """Bind a task to a machine under a fresh attempt; the epoch in it keeps it fresh for ever."""
         self._attempts += 1
-        claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.zone, now)
+        claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.zone)
         claim.helped = helped
         job.bind(claim)
         job.block_of(index).touch()
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -127,6 +127,7 @@
         while trio.current_time() < until:
             if not await self.client.writes.take(patience=SUBMIT_S / 5):
                 return busy(1)
+            await self.client.calls.take(urgent=True)  # counted; the writes were waited for
             try:
                 outcome = await self.client.commit(guards, {JOB + uid: record}, [], SUBMIT_S * SPARE / 3)
             except Unavailable as error:
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -25,7 +25,6 @@
 
     __slots__ = (
         "attempt",
-        "claimed_at",
         "helped",
         "host",
         "index",
@@ -42,9 +41,9 @@
         "zone",
     )
 
-    def __init__(self, job: Job, index: int, attempt: int, host: str, zone: str, now: float) -> None:
+    def __init__(self, job: Job, index: int, attempt: int, host: str, zone: str) -> None:
         self.zone = zone
-        self.job, self.index, self.attempt, self.host, self.claimed_at = job, index, attempt, host, now
+        self.job, self.index, self.attempt, self.host = job, index, attempt, host
         self.recorded = False  # in the state service: only then may the launch go out
         self.inherited = False  # made by an earlier foreman, whose order may be out or not
         self.phase: str | None = None  # as last reported
@@ -172,7 +171,7 @@
         self.undealt += [n for n in block.span() if n not in block.done and n not in block.claims]
         return True
 
-    def load(self, number: int, value: dict[str, Any], stamp: int, now: float) -> Block:
+    def load(self, number: int, value: dict[str, Any], stamp: int) -> Block:
         """Take a block over as an earlier foreman left it on record."""
         block = self.block_of(number * self.block)
         block.stamp = stamp
@@ -180,7 +179,7 @@
             block.done.update(range(first, last + 1))
         self.done += len(block.done)
         for index, (attempt, host, zone) in value.get("a", {}).items():
-            claim = Claim(self, int(index), attempt, host, zone, now)
+            claim = Claim(self, int(index), attempt, host, zone)
             claim.recorded = claim.inherited = True
             self.bind(claim)
         return block
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -78,11 +78,13 @@
         host, port = address(settings.outside.state)
         self._client = Client(host, port)
         self._watcher = Client(host, port, keep=1)
-        # Half of each limit is for the one foreman, the other half is shared by the front doors.
-        self.calls = Budget(limits.rps / (2 * size))
-        self.writes = Budget(limits.write_rps / (2 * size))
-        self.foreman_calls = Budget(limits.rps / 4)
+        # Nearly half of the writes are the one foreman's, half is shared by the front doors. Every change wakes the
+        # watches of all controllers, so these have a share of the calls of their own; a tenth is left for renewals.
+        self.writes = Budget(limits.write_rps * 0.5 / size)
         self.foreman_writes = Budget(limits.write_rps * 0.45)
+        self.watches = Budget(limits.rps * 0.4 / size)
+        self.calls = Budget(limits.rps * 0.3 / size)
+        self.foreman_calls = Budget(limits.rps * 0.2)
         self.answered_at = -math.inf  # when the service last answered us with anything but trouble
 
     async def _call(
@@ -165,6 +167,7 @@
 
     async def watch(self, after: int, wait_s: float) -> Watched | None:
         """Changes after a revision, or None if the service no longer keeps that far back."""
+        await self.watches.take()
         target = f"/watch?starts={PREFIX}&after={after}&waitMs={round(wait_s * 1000)}"
         status, answer = await self._call("GET", target, None, wait_s * 2, self._watcher)
         return None if status == 410 else _checked(status, answer, Watched)
