--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -9,7 +9,7 @@
 from ladderfield.queues.work import Job
 from ladderfield.settings import Settings
 
-STEP = 8.0  # of report_s: due times closer together than this are equal, and the design's pick decides
+STEP = 8.0  # of report_s: late jobs that came closer together than this are equal
 MEMORY = 60.0  # of report_s: how far back arrivals count
 Stream = tuple[str, str]  # class and image: what a warm machine has to match
 LEARN = 0.1  # weight of a new run time in a class's bias
@@ -68,11 +68,13 @@
         return None
 
     def rating(self, job: Job, now: float) -> tuple[bool, int]:
-        """For ordering: what can still be on time goes first, by due time; then the rest, by age."""
+        """For ordering: what can still be on time goes first, least work first, so that under overload as many jobs
+        as possible are; then the rest, by age. Both in coarse steps, within which the design's pick decides."""
         if job.spec.service:
             return False, 0
-        due = self.due(job, now)
-        return due is None, int((job.at if due is None else due) / (STEP * self.report_s))
+        if self.due(job, now) is None:
+            return True, int(job.at / (STEP * self.report_s))
+        return False, int(math.log2(max(1.0, job.waiting * job.spec.cpus * self.run_s(job))))
 
     def slack(self, job: Job, now: float) -> float:
         """How long the job's tasks may wait."""
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -119,17 +119,15 @@
 
 
 def tiers(
-    jobs: Iterable[Job], teams: Teams, due: Callable[[Job], tuple[bool, int]], now: float
+    jobs: Iterable[Job], teams: Teams, rating: Callable[[Job], tuple[bool, int]], now: float
 ) -> list[tuple[bool, set[Job]]]:
-    """Jobs that may start tasks now, grouped in the order of guarantee, rank and due time; with each group whether
-    it is owed to its team.
-
-    Due times are told apart only as finely as ``due`` does, so that within a group the design's pick decides.
+    """Jobs that may start tasks now, grouped in the order of guarantee, rank and ``rating``; with each group whether
+    it is owed to its team. Ratings are coarse, so that within a group the design's pick decides.
     """
     groups: dict[tuple, set[Job]] = {}
     for job in jobs:
         if job.queued and job.final is None and now >= job.not_before and teams.room(job.spec):
-            groups.setdefault((not teams.guaranteed(job.spec), *job.order, *due(job)), set()).add(job)
+            groups.setdefault((not teams.guaranteed(job.spec), *job.order, *rating(job)), set()).add(job)
     return [(not key[0], groups[key]) for key in sorted(groups)]
 
 
--- a/ladderfield/queues/test_queues.py
+++ b/ladderfield/queues/test_queues.py
@@ -91,7 +91,7 @@
     assert placeable(one, machine("b", zone="zb"))
 
 
-def test_tiers_put_guarantee_before_rank_before_due_time() -> None:
+def test_tiers_put_guarantee_before_rank_before_rating() -> None:
     teams = Teams([Team("red", cpus=2.0), Team("blue")])
     owed = make("req-000001", owner="red", rank="best_effort", rungs=1)
     high = make("req-000002", owner="blue", rank="production", rungs=1)
