--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -245,7 +245,7 @@
         for machine in sorted(live, key=lambda one: (one.spot, -one.kind.price, one.host)):
             if machine.claims or machine.idle_since is None or machine.host in self.keep:
                 continue
-            again = machine.kind.boot_s + max(machine.cached.values(), default=0.0) / machine.kind.fetch_gb_per_s
+            again = machine.kind.boot_s + machine.kind.fetch_s(max(machine.cached.values(), default=0.0))
             ample = machine.kind.cpus <= excess
             linger = max((LINGER_AMPLE if ample else LINGER) * again, LINGER_LEAST * desk.report_s)
             if now - machine.idle_since > linger:
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -156,11 +156,7 @@
                 await self.term.over.wait()
                 announce(None)
                 nursery.cancel_scope.cancel()
-        while True:
-            try:
-                message = self.inbox.receive_nowait()
-            except trio.WouldBlock:
-                break
+        while (message := self._next()) is not None:
             if isinstance(message, Reported):
                 message.done.set()
 
@@ -176,17 +172,29 @@
             Sole: self._on_sole,
             Tick: self._on_tick,
         }
-        while True:
+        while not self.term.over.is_set():
             message = await self.inbox.receive()
-            for _ in range(INBOX):  # what has gathered shares one pass of scheduling
-                handlers[type(message)](message, trio.current_time())
-                try:
-                    message = self.inbox.receive_nowait()
-                except trio.WouldBlock:
-                    break
-            else:
-                handlers[type(message)](message, trio.current_time())
-            self._advance(trio.current_time())
+            try:
+                for _ in range(INBOX):  # what has gathered shares one pass of scheduling
+                    handlers[type(message)](message, trio.current_time())
+                    message = self._next()
+                    if message is None:
+                        break
+                else:
+                    handlers[type(message)](message, trio.current_time())
+                self._advance(trio.current_time())
+            except Exception:
+                # The tables can't be trusted now. What is on record can: whoever is foreman next rebuilds from it,
+                # and users are served meanwhile.
+                log.exception("epoch %d: an error in the foreman's tables", self.term.epoch)
+                self.term.end("of an error")
+
+    def _next(self) -> Any:
+        """What else has come in, or None."""
+        try:
+            return self.inbox.receive_nowait()
+        except trio.WouldBlock:
+            return None
 
     def _advance(self, now: float) -> None:
         """After the messages: schedule, record, push, and plan."""
--- a/ladderfield/foreman/room.py
+++ b/ladderfield/foreman/room.py
@@ -85,7 +85,7 @@
                     continue
                 lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
                 if not locality(job, machine):
-                    lost += fetch * job.spec.image_gb / machine.kind.fetch_gb_per_s * job.spec.cpus
+                    lost += fetch * machine.kind.fetch_s(job.spec.image_gb) * job.spec.cpus
                 if best is None or (lost, machine.host) < best[:2]:
                     best = (lost, machine.host, chosen)
             if best is None or not best[2]:
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -243,6 +243,13 @@
     assert order["verb"] == "stop" and order["windDownS"] >= 3.0
 
 
+def test_a_machine_of_unknown_type_gets_nothing_and_harms_nothing() -> None:
+    stage = Stage()
+    stage.submit(cores=0.0, memoryGb=0.0, rank="production", shape="daemon", rungs=1)
+    stage.report(flavour="m99")
+    assert not stage.machine().claims
+
+
 def test_a_task_nobody_claims_is_stopped() -> None:
     stage = Stage()
     (order,) = stage.report(rungs=(rung(0, 5),))
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -70,6 +70,10 @@
     boot_s: Amount = msgspec.field(name="readyS")
     zones: list[str] = msgspec.field(name="yards")
 
+    def fetch_s(self, gb: float) -> float:
+        """How long an image takes to come; a rate of 0 is a strange answer and must not end anything."""
+        return gb / max(self.fetch_gb_per_s, 1e-3)
+
 
 class Malformed(Exception):
     """Not a job: answered 400."""
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -411,6 +411,22 @@
     return worker
 
 
+async def test_an_error_in_the_tables_costs_a_term_and_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=2)
+        await whole.busy(uid)
+        first = whole.controllers[whole.foreman()].leadership.term
+        assert first is not None
+        with monkeypatch.context() as broken:
+            broken.setattr("ladderfield.foreman.desk.Desk.schedule", lambda self, now: 1 // 0)
+            await whole.submit(uid="req-000002")
+            await trio.sleep(1)
+        assert first.over.is_set() and len(whole.controllers) == 3
+        await trio.sleep(5)
+        assert whole.foreman() in whole.controllers
+        assert len(whole.starts(uid)) == 2 and await whole.phase(0, uid) == "running"
+
+
 async def test_unexpected_machines_are_used_or_returned(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         hire = {"hire": "late", "flavour": "m4", "yard": "za", "loaners": False, "howMany": 2}
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -69,6 +69,8 @@
 
     def allows(self, spec: JobSpec) -> bool:
         """Whether type, zone and kind are allowed for the job."""
+        if self.kind is UNKNOWN:
+            return False
         return (spec.spot or not self.spot) and spec.zone in (None, self.zone) and fits(spec, self.kind)
 
     def has_room(self, spec: JobSpec) -> bool:
