Never queue a task twice: claims released before their block is open

The task went back to the queue, and opening its block then queued it once more, so two machines started it. Ruled out: leases called over too early, late copies, two foremen of one epoch (both starts came from one foreman, 1 and 13 s after it took over). Now a task is put back only into an open block, and no queue entry is believed against a claim or a finished task.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -224,6 +224,10 @@
             if pulled is None:
                 return made
             job, index, owner = pulled
+            if index in job.claims or index in job.block_of(index).done:
+                # Whatever the queues say: a task whose claim binds, or that is done, is never claimed again.
+                log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
+                continue
             self.claim(job, index, machine, owner, now)
             made += 1
 
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -158,7 +158,7 @@
 def inherited(attempt: int = 99) -> dict[str, Any]:
     """What an earlier foreman left on record."""
     return {
-        "lf/j/req-000001": ({"spec": job(rungs=1), "at": 990.0, "block": 256}, 4),
+        "lf/j/req-000001": ({"spec": job(rungs=1, cores=4.0), "at": 990.0, "block": 256}, 4),
         "lf/b/req-000001/0": ({"d": [], "a": {"0": [attempt, "m", "za"]}}, 6),
     }
 
@@ -174,6 +174,29 @@
     assert len(attempts) == 1 and attempts[0] >> 32 == EPOCH_NOW
 
 
+def test_a_claim_that_ends_before_its_block_is_open_is_queued_once() -> None:
+    """daftar-niaga, troubles: released by the first report after a takeover, the task was dealt twice and ran twice."""
+    stage = Stage(inherited())
+    report = {
+        "host": "m", "endpoint": "10.9.0.1:90", "flavour": "m4", "yard": "za", "loaners": False,
+        "tenure": 1, "tick": 1, "epoch": EPOCH_NOW, "rungs": [],
+    }  # fmt: skip
+    stage.desk.sessions.report(msgspec.convert(report, Report), 1.0, answering=True)
+    assert not stage.machine().claims
+    stage.report("other")
+    stage.report("another")
+    assert sum(len(machine.claims) for machine in stage.desk.machines.values()) == 1
+    assert stage.desk.jobs["req-000001"].queued == 0
+
+
+def test_a_queued_task_with_a_claim_is_not_claimed_again() -> None:
+    stage = Stage()
+    launched(stage, 1, cores=4.0)
+    stage.desk.jobs["req-000001"].undealt.append(0)
+    stage.report("other")
+    assert not stage.machine("other").claims and len(stage.machine("m").claims) == 1
+
+
 def test_a_silent_machines_claims_outlast_any_earlier_foremans_answers() -> None:
     stage = Stage(inherited())
     over = (36.0 + 12.0) * CLOCKS
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -56,8 +56,10 @@
         job.undealt = []
 
     def put_back(self, job: Job, index: int) -> None:
-        """A task is free again; it is dealt anew."""
-        job.undealt.append(index)
+        """A task is free again; it is dealt anew. While its block is not open yet, opening it will do that: a task
+        that is queued twice would be started twice."""
+        if index // job.block < job.next_block:
+            job.undealt.append(index)
 
     def withdraw(self, machine: Machine) -> None:
         """Take all of a machine's queue back for dealing (it takes no more work)."""
