--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -177,6 +177,9 @@
                     pass
                 if job.undealt:
                     self.queues.deal(job, machines)
+        for job in self.jobs.values():
+            if job.order[0] == 0 and job.queued and job.final is None and not self.teams.room(job.spec):
+                self.room.within_limit(job, now)
         ready = tiers(self.jobs.values(), self.teams, lambda job: self.outlook.rating(job, now), now)
         if not ready:
             return 0
--- a/ladderfield/foreman/room.py
+++ b/ladderfield/foreman/room.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ladderfield.queues.pick import locality, placeable, victims
-from ladderfield.queues.work import Claim, Job
+from ladderfield.queues.work import Claim, Job, task_name
 from ladderfield.workers.machine import Machine
 
 if TYPE_CHECKING:
@@ -43,6 +43,25 @@
         rank = job.order[0]
         self._clear(job, machines, lambda claim: claim.job.order[0] > rank, FETCH, job.queued, now)
 
+    def within_limit(self, job: Job, now: float) -> None:
+        """Have a team's lower ranks give way to its own production replica that the team's limit would keep out."""
+        teams, spec = self.desk.teams, job.spec
+        over = teams.over_limit(spec)
+        own = [
+            claim
+            for machine in self.desk.machines.values()
+            for claim in machine.claims.values()
+            if claim.job.spec.team == spec.team and claim.job.order[0] > job.order[0]
+        ]
+        over -= sum(claim.job.spec.cpus for claim in own if claim.stopping is not None)
+        running = [claim for claim in own if claim.stopping is None]
+        for claim in sorted(running, key=lambda one: (-one.job.order[0], now - (one.running_at or now))):
+            if over <= 0:
+                break
+            over -= claim.job.spec.cpus
+            log.info("job %s: task %s gives way within the team's limit", job.uid, task_name(claim.task))
+            self.desk.stop(claim, "preempted", now)
+
     def for_guarantee(self, job: Job, machines: list[Machine], now: float) -> None:
         """Take back for a team within its guarantee what others borrowed; they keep all of their own guarantee."""
         teams = self.desk.teams
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -305,6 +305,23 @@
     assert {claim.stopping for claim in calm.machine().claims.values()} == {None}
 
 
+def test_a_replica_is_not_kept_out_by_its_own_teams_batch_work() -> None:
+    """Incident inc-a991: a team's array tasks filled its limit, and its lookup service waited for 100 s."""
+    stage = Stage()
+    for host in range(6):
+        stage.report(f"m{host}")
+    stage.submit(rungs=8)
+    while stage.desk.changed:
+        stage.desk.schedule(2.0)
+    assert stage.desk.teams.cpus["red"] == 16.0
+    stage.submit("req-000002", rank="production", shape="daemon", cores=4.0, rungs=1)
+    while stage.desk.changed:
+        stage.desk.schedule(3.0)
+    held = [claim.job.uid for machine in stage.desk.machines.values() for claim in machine.claims.values()]
+    assert held.count("req-000002") == 1 and held.count("req-000001") == 6
+    assert stage.desk.teams.cpus["red"] == 16.0
+
+
 def test_no_replica_goes_where_a_report_is_missing() -> None:
     """Hunt day 937d-5: room was cleared on machines that were just being cut off."""
     stage = Stage()
--- a/ladderfield/teams.py
+++ b/ladderfield/teams.py
@@ -38,6 +38,13 @@
             rooms.append(int((team.gpus_max - self.gpus[spec.team] + SLACK) / spec.gpus))
         return max(0, min(rooms))
 
+    def over_limit(self, spec: JobSpec) -> float:
+        """By how many cpus one more such task would exceed the team's limit."""
+        team = self.teams.get(spec.team)
+        if team is None or not team.cpus_max:
+            return 0.0
+        return max(0.0, self.cpus[spec.team] + spec.cpus - team.cpus_max - SLACK)
+
     def guaranteed(self, spec: JobSpec) -> bool:
         """Whether one more such task stays within the team's guarantee."""
         team = self.teams.get(spec.team)
