A scheduling pass keeps its order instead of searching it; plans look only at rooms that fit

Kept: the design's pick, exactly (a test compares it with the searched order at every step of a pass).

--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from ladderfield.foreman.desk import Desk
-from ladderfield.jobs.model import PRODUCTION, JobSpec, MachineType, fits
-from ladderfield.queues.work import Claim, Job
+from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import SLACK, Machine
 
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
@@ -27,6 +27,7 @@
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
 SPARE = 1.0  # standard deviations over the number of services expected while a machine boots: room kept ready
 
+NOTHING = [0.0, 0.0, 0.0]
 Offer = tuple[str, str, bool]  # type, zone, spot
 
 
@@ -71,11 +72,7 @@
         else:
             self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
             self.images = machine.cached
-            for claim in machine.claims.values():
-                spec = claim.job.spec
-                if not spec.service and spec.rank != PRODUCTION:
-                    held = (spec.cpus, spec.gpus, spec.memory_gb)
-                    self.lower = [a + b for a, b in zip(self.lower, held, strict=True)]
+            self.lower = list(machine.soft)
         self.for_arrays = self.cpus + self.lower[0]
         self.idle = machine is not None and not machine.claims
 
@@ -83,9 +80,17 @@
         """Whether the job may use this machine."""
         return (spec.spot or not self.spot) and spec.zone in (None, self.zone) and fits(spec, self.kind)
 
+    def takes(self, spec: JobSpec, lower: list[float]) -> bool:
+        """Whether one more task fits, if what ``lower`` counts makes way."""
+        return (
+            spec.cpus <= self.cpus + lower[0] + SLACK
+            and spec.memory_gb <= self.memory_gb + lower[2] + SLACK
+            and spec.gpus <= self.gpus + lower[1] + SLACK
+        )
+
     def place(self, spec: JobSpec, count: int, free_only: bool = False) -> int:
         """Fill with up to so many tasks; how many fit. Services may push lower ranks out."""
-        lower = [0.0, 0.0, 0.0] if free_only else self.lower
+        lower = NOTHING if free_only else self.lower
         room = (self.cpus + lower[0], self.gpus + lower[1], self.memory_gb + lower[2])
         placed = min(count, slots(spec, *room))
         self.cpus -= placed * spec.cpus
@@ -107,6 +112,59 @@
     return max(0, most)
 
 
+class Plan:
+    """All rooms, sorted by shape of task once a plan, so that a job looks only at those that may still take it."""
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        self.rooms = list(rooms)
+        self.planned: dict[Offer, int] = {}
+        self._services: dict[Shape, list[Room]] = {}
+        self._arrays: dict[Shape, list[Room]] = {}
+        self._array_cpus: dict[Shape, float] = {}
+        self._specs: dict[Shape, JobSpec] = {}
+
+    def for_service(self, spec: JobSpec, shape: Shape) -> Iterator[Room]:
+        """Rooms that may take a replica: first those with its image, then the busy and small ones."""
+        rooms = self._services.get(shape)
+        if rooms is None:
+            self._specs[shape] = spec
+            rooms = [room for room in self.rooms if room.allows(spec)]
+            rooms.sort(key=lambda room: (room.idle, room.cpus))
+        rooms = self._services[shape] = [room for room in rooms if room.takes(spec, room.lower)]
+        yield from [room for room in rooms if spec.image in room.images]
+        yield from rooms
+
+    def for_array(self, spec: JobSpec, shape: Shape) -> list[Room]:
+        """Rooms with free room for a task."""
+        rooms = self._arrays.get(shape)
+        if rooms is None:
+            self._specs[shape] = spec
+            rooms = [room for room in self.rooms if room.allows(spec)]
+        rooms = self._arrays[shape] = [room for room in rooms if room.takes(spec, NOTHING)]
+        return rooms
+
+    def cpus_for_arrays(self, spec: JobSpec, shape: Shape) -> float:
+        """What all machines that the job allows have for array work. Asked for while arrays are planned, when the
+        services have their room already and only new machines add to it."""
+        if shape not in self._array_cpus:
+            self._array_cpus[shape] = sum(room.for_arrays for room in self.rooms if room.allows(spec))
+        return self._array_cpus[shape]
+
+    def add(self, offer: Offer, kind: MachineType) -> Room:
+        """One more machine to rent."""
+        room = Room(None, kind, offer[1], offer[2])
+        self.rooms.append(room)
+        self.planned[offer] = self.planned.get(offer, 0) + 1
+        for shape, spec in self._specs.items():
+            if room.allows(spec):
+                for table in (self._services, self._arrays):
+                    if shape in table:
+                        table[shape].append(room)
+                if shape in self._array_cpus:
+                    self._array_cpus[shape] += room.for_arrays
+        return room
+
+
 class Planner:
     """Remembers refusals between plans."""
 
@@ -129,80 +187,69 @@
     def rentals(self, now: float) -> list[Rental]:
         """What to ask for now, given what is up and under way."""
         desk = self.desk
-        rooms = [
+        plan = Plan(
             Room(machine)
             for machine in desk.machines.values()
             if not (machine.deleting or machine.sick) and machine.recall_at is None and machine.kind.cpus
-        ]
-        planned: dict[Offer, int] = {}
+        )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
-        self._services([job for job in jobs if job.spec.service], rooms, planned, now)
-        self._arrays([job for job in jobs if not job.spec.service], rooms, planned, now)
-        self.keep = {room.host for room in rooms if room.host and room.needed}
-        return [Rental(offer, count) for offer, count in planned.items()]
+        self._services([job for job in jobs if job.spec.service], plan, now)
+        self._arrays([job for job in jobs if not job.spec.service], plan, now)
+        self.keep = {room.host for room in plan.rooms if room.host and room.needed}
+        return [Rental(offer, count) for offer, count in plan.planned.items()]
 
-    def _services(self, jobs: list[Job], rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+    def _services(self, jobs: list[Job], plan: Plan, now: float) -> None:
         """Every waiting replica gets room, if need be in place of lower ranks; and so do those soon to come."""
         desk = self.desk
         for job in jobs:
-            self._give(job.spec, min(job.waiting, desk.teams.room(job.spec)), rooms, planned, now, soon=True)
-        for stream, spec in desk.outlook.latest.items():
-            offer = self._best(spec, 1, (True, False), now)
+            self._give(job.spec, job.shape, min(job.waiting, desk.teams.room(job.spec)), plan, now, soon=True)
+        for stream, job in desk.outlook.latest.items():
+            offer = self._best(job.spec, 1, (True, False), now)
             if offer is not None:
-                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(stream, now) * spec.tasks
-                self._give(spec, math.ceil(coming + SPARE * math.sqrt(coming)), rooms, planned, now)
+                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(stream, now) * job.spec.tasks
+                self._give(job.spec, job.shape, math.ceil(coming + SPARE * math.sqrt(coming)), plan, now)
 
-    def _give(
-        self, spec: JobSpec, need: int, rooms: list[Room], planned: dict[Offer, int], now: float, soon: bool = False
-    ) -> None:
-        for room in sorted(rooms, key=lambda one: (spec.image not in one.images, one.idle, one.cpus)):
-            if need > 0 and room.allows(spec):
-                need -= room.place(spec, need)
+    def _give(self, spec: JobSpec, shape: Shape, need: int, plan: Plan, now: float, soon: bool = False) -> None:
+        for room in plan.for_service(spec, shape):
+            if need <= 0:
+                return
+            need -= room.place(spec, need)
         while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)):
-            room = self._plan(offer, rooms, planned)
-            placed = room.place(spec, need)
+            placed = plan.add(offer, self.desk.types[offer[0]]).place(spec, need)
             if not placed:
                 break
             need -= placed
 
-    def _arrays(self, jobs: list[Job], rooms: list[Room], planned: dict[Offer, int], now: float) -> None:
+    def _arrays(self, jobs: list[Job], plan: Plan, now: float) -> None:
         desk = self.desk
-        load = sum(self._remaining(claim, now) for one in desk.machines.values() for claim in one.claims.values())
+        load = sum(self._remaining(job, now) for job in desk.jobs.values() if job.claims and not job.spec.service)
         for job in jobs:
             spec, run = job.spec, desk.outlook.run_s(job)
             tasks = min(job.waiting, desk.teams.room(spec))
             load += tasks * spec.cpus * run
-            for room in rooms:
-                if tasks > 0 and room.allows(spec):
-                    tasks -= room.place(spec, tasks, free_only=True)
+            for room in plan.for_array(spec, job.shape):
+                if tasks <= 0:
+                    break
+                tasks -= room.place(spec, tasks, free_only=True)
             for spot in (True, False) if spec.spot else (False,):
                 while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)):
                     kind = desk.types[offer[0]]
                     horizon = HORIZON * kind.boot_s
                     if not spot:
                         horizon = max(horizon, PATIENCE * desk.outlook.slack(job, now))
-                    room_cpus = sum(room.for_arrays for room in rooms if room.allows(spec))
-                    if load <= horizon * room_cpus:
+                    if load <= horizon * plan.cpus_for_arrays(spec, job.shape):
                         break
-                    placed = self._plan(offer, rooms, planned).place(spec, tasks, free_only=True)
+                    placed = plan.add(offer, kind).place(spec, tasks, free_only=True)
                     if not placed:
                         break
                     tasks -= placed
 
-    def _remaining(self, claim: Claim, now: float) -> float:
-        """The cpu-seconds that a running array task still needs; one that overstays its estimate needs some more."""
-        if claim.job.spec.service:
-            return 0.0
-        run = self.desk.outlook.run_s(claim.job)
-        ran = 0.0 if claim.running_at is None else now - claim.running_at
-        return claim.job.spec.cpus * max(run - ran, run / 4)
-
-    def _plan(self, offer: Offer, rooms: list[Room], planned: dict[Offer, int]) -> Room:
-        room = Room(None, self.desk.types[offer[0]], offer[1], offer[2])
-        rooms.append(room)
-        planned[offer] = planned.get(offer, 0) + 1
-        return room
+    def _remaining(self, job: Job, now: float) -> float:
+        """The cpu-seconds that a job's running tasks still need; one that overstays its estimate needs some more."""
+        run = self.desk.outlook.run_s(job)
+        begun = (0.0 if claim.running_at is None else now - claim.running_at for claim in job.claims.values())
+        return job.spec.cpus * sum(max(run - ran, run / 4) for ran in begun)
 
     def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
         """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -17,8 +17,8 @@
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import BLOCK, CANCELLED, FINAL, JOB, TYPES, JobSpec, MachineType, parse_types
-from ladderfield.queues.pick import Queues, tiers
-from ladderfield.queues.work import Claim, Job, task_name
+from ladderfield.queues.pick import Queues, Tier, tiers
+from ladderfield.queues.work import Claim, Job, Shape, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
 from ladderfield.teams import Teams
@@ -94,8 +94,8 @@
     def _add_job(self, value: Any, stamp: int) -> None:
         spec = msgspec.convert(value["spec"], JobSpec)
         if spec.uid not in self.jobs:
-            self.outlook.arrived(spec, value["at"] - self.wall_offset)
-            self.jobs[spec.uid] = Job(spec, value["at"] - self.wall_offset, value["block"], stamp)
+            job = self.jobs[spec.uid] = Job(spec, value["at"] - self.wall_offset, value["block"], stamp)
+            self.outlook.arrived(job)
             self.changed = True
 
     def _finalised(self, key: str, value: Any, now: float) -> None:
@@ -129,6 +129,7 @@
         self._attempts += 1
         claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.zone)
         claim.helped = helped
+        self.queues.helped(helped, machine.host, 1)
         job.bind(claim)
         job.block_of(index).touch()
         machine.take(claim)
@@ -141,6 +142,8 @@
         job = claim.job
         machine = self.machines[claim.host]
         machine.free(claim, now)
+        if claim.helped is not None:
+            self.queues.helped(claim.helped, claim.host, -1)
         job.release(claim)
         self.teams.add(job.spec, -1)
         self.changed = True
@@ -170,62 +173,61 @@
         """Deal, then let free machines pull, in the order of guarantee and rank; the number of claims made."""
         self.changed = False
         machines = self.usable(now)
-        made = 0
-        for job in self.jobs.values():
-            if job.final is None:
-                while job.queued + len(job.undealt) < job.block and job.open_next():
-                    pass
-                if job.undealt:
-                    self.queues.deal(job, machines)
+        self._deal(machines)
         for job in self.jobs.values():
             if job.order[0] == 0 and job.queued and job.final is None and not self.teams.room(job.spec):
                 self.room.within_limit(job, now)
         ready = tiers(self.jobs.values(), self.teams, lambda job: self.outlook.rating(job, now), now)
         if not ready:
             return 0
+        self.queues.begin(machines)
+        self.room.begin(now)
         free = [machine for machine in machines if machine.cpus > 0]
         # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
         # dear and the empty run dry and can be returned.
         free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
         # After a takeover everybody is late, as workers first have to find the new foreman.
         late = OVERDUE * self.report_s if now - self.term_from > SILENT * self.report_s else math.inf
-        prompt = [machine for machine in machines if machine.heard_at is not None and now - machine.heard_at <= late]
-        for owed, tier in ready:
-            rank = next(iter(tier)).order[0]
+        prompt = {one for one in machines if one.heard_at is not None and now - one.heard_at <= late}
+        made = 0
+        for tier in ready:
+            asking = tier.candidates(one for one in free if tier.rank > 0 or one in prompt)
             for score in (1, 0):
-                if score == 0 and rank == 0:
-                    for job in tier:
+                if score == 0 and tier.rank == 0:
+                    for job in tier.jobs:
                         self.room.for_replicas(job, prompt, now)
-                for machine in free:
-                    if rank == 0 and machine not in prompt:
-                        continue
-                    if now < machine.hold_until and rank > machine.hold_rank:
-                        continue
-                    made += self._fill(machine, machines, tier, owed, score, now)
-            if owed:
-                for job in sorted(tier, key=lambda one: one.uid):
+                for machine in asking:
+                    if now >= machine.hold_until or tier.rank <= machine.hold_rank:
+                        made += self._fill(machine, tier, score, now)
+            if tier.owed:
+                for job in sorted(tier.jobs, key=lambda one: one.uid):
                     if job.queued and now - job.at > OWED * self.report_s:
                         self.room.for_guarantee(job, machines, now)
         if made:
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
 
-    def _fill(
-        self, machine: Machine, machines: list[Machine], tier: set[Job], owed: bool, score: int, now: float
-    ) -> int:
-        made = 0
-        while True:
+    def _deal(self, machines: list[Machine]) -> None:
+        fit: dict[Shape, list[Machine]] = {}
+        for job in self.jobs.values():
+            if job.final is None:
+                while job.queued + len(job.undealt) < job.block and job.open_next():
+                    pass
+                if job.undealt:
+                    if job.shape not in fit:
+                        fit[job.shape] = [machine for machine in machines if machine.allows(job.spec)]
+                    self.queues.deal(job, fit[job.shape])
+
+    def _fill(self, machine: Machine, tier: Tier, score: int, now: float) -> int:
+        def allowed(spec: JobSpec) -> bool:
             # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
-            jobs = {job for job in tier if job.queued and machine.has_room(job.spec) and self.teams.room(job.spec)}
-            if owed:
-                jobs = {job for job in jobs if self.teams.guaranteed(job.spec)}
-            if score == 0:
-                jobs = {job for job in jobs if self.room.may_go_to(job, machine, now)}
-            if not jobs:
-                return made
-            pulled = self.queues.pull(machine, machines, jobs, score)
-            if pulled is None:
-                return made
+            return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
+
+        def may_go(job: Job) -> bool:
+            return score == 1 or self.room.may_go_to(job, machine, now)
+
+        made = 0
+        while (jobs := tier.eligible(machine, score, allowed, may_go)) and (pulled := self.queues.pull(machine, jobs)):
             job, index, owner = pulled
             if index in job.claims or index in job.block_of(index).done:
                 # Whatever the queues say: a task whose claim binds, or that is done, is never claimed again.
@@ -233,6 +235,7 @@
                 continue
             self.claim(job, index, machine, owner, now)
             made += 1
+        return made
 
     # -- machines ----------------------------------------------------------------------------------------------
 
--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -22,7 +22,7 @@
         self.report_s = settings.cluster.workers.report_s
         self.bias: dict[str, float] = {}  # of a class: log of true over estimated run time
         self.arrivals: dict[Stream, deque[float]] = defaultdict(deque)  # of services
-        self.latest: dict[Stream, JobSpec] = {}  # the job seen last
+        self.latest: dict[Stream, Job] = {}  # the job seen last
         self.aims: dict[str, list[float]] = defaultdict(list)  # of a class: times to be finished within
         for objective in settings.cluster.objectives:
             if objective.kind == "finished" and objective.job_class and objective.within_s:
@@ -31,11 +31,12 @@
             {one.times for one in settings.cluster.objectives if one.kind == "deadline" and one.times} | {1.0}
         )
 
-    def arrived(self, spec: JobSpec, at: float) -> None:
+    def arrived(self, job: Job) -> None:
         """A job was accepted."""
-        if spec.service:
-            self.arrivals[spec.job_class, spec.image].append(at)
-            self.latest[spec.job_class, spec.image] = spec
+        if job.spec.service:
+            stream = (job.spec.job_class, job.spec.image)
+            self.arrivals[stream].append(job.at)
+            self.latest[stream] = job
 
     def rate(self, stream: Stream, now: float) -> float:
         """Services of a class and image that arrive per second, as of late."""
--- a/ladderfield/foreman/room.py
+++ b/ladderfield/foreman/room.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from ladderfield.queues.pick import locality, placeable, victims
-from ladderfield.queues.work import Claim, Job, task_name
+from ladderfield.queues.work import Claim, Job, Shape, task_name
 from ladderfield.workers.machine import Machine
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 HOLD = 1.0  # of report_s: how long cleared room is kept for the task it was cleared for
+RECLAIM = 1 / 6  # of report_s: how often borrowed room is taken back
 FETCH = 2.0  # a second of a replica's fetch is worth so many seconds of work of lower rank
 
 
@@ -28,20 +30,38 @@
 
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
+        self._hopeless: set[Shape] = set()  # replicas of this shape find nothing to clear in this pass
+        self._reclaimed_at = -math.inf
+
+    def begin(self, now: float) -> None:
+        """A pass begins."""
+        self._hopeless.clear()
+        # What teams owe each other is gone through once a round of ticks, not with every report.
+        self._reclaims = now - self._reclaimed_at >= RECLAIM * self.desk.report_s
+        if self._reclaims:
+            self._reclaimed_at = now
 
     def may_go_to(self, job: Job, machine: Machine, now: float) -> bool:
         """A task for which room is being cleared waits for that room (or for a machine with its image)."""
+        if not job.held:
+            return True
         held = [host for host, until in job.held.items() if until > now]
         return len(held) < job.queued or machine.host in held
 
-    def for_replicas(self, job: Job, machines: list[Machine], now: float) -> None:
+    def for_replicas(self, job: Job, machines: Iterable[Machine], now: float) -> None:
         """Clear room for a production replica that no machine has room and the image for.
 
         Where a fetch would cost more than the work that is lost, a machine with the image is cleared even though
         another has room.
         """
+        if not job.queued or job.shape in self._hopeless:
+            return
         rank = job.order[0]
-        self._clear(job, machines, lambda claim: claim.job.order[0] > rank, FETCH, job.queued, now)
+        could = [machine for machine in machines if machine.could_clear(job.spec) and machine.allows(job.spec)]
+        if could:
+            self._clear(job, could, lambda claim: claim.job.order[0] > rank, FETCH, job.queued, now)
+        else:
+            self._hopeless.add(job.shape)
 
     def within_limit(self, job: Job, now: float) -> None:
         """Have a team's lower ranks give way to its own production replica that the team's limit would keep out."""
@@ -64,6 +84,8 @@
 
     def for_guarantee(self, job: Job, machines: list[Machine], now: float) -> None:
         """Take back for a team within its guarantee what others borrowed; they keep all of their own guarantee."""
+        if not self._reclaims:
+            return
         teams = self.desk.teams
         spare = teams.borrowed()
         for claim in (claim for machine in machines for claim in machine.claims.values()):
--- a/ladderfield/foreman/test_outlook.py
+++ b/ladderfield/foreman/test_outlook.py
@@ -42,6 +42,6 @@
     outlook = Outlook(settings())
     spec = make("req-000001", shape="daemon").spec
     for at in range(12):
-        outlook.arrived(spec, float(at))
+        outlook.arrived(make("req-000001", float(at), shape="daemon"))
     assert outlook.rate((spec.job_class, spec.image), 12.0) == 0.1
     assert outlook.rate((spec.job_class, spec.image), 200.0) == 0.0
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable
 
 from ladderfield.jobs.model import JobSpec
-from ladderfield.queues.work import Claim, Job
+from ladderfield.queues.work import Claim, Job, Shape
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import Machine
 
@@ -22,34 +23,75 @@
     return (tasks + 1) // 2
 
 
-def placeable(job: Job, machine: Machine) -> bool:
-    """Whether a task of the job may start there, given the job's other claims at this moment."""
+def settled(job: Job, machine: Machine) -> bool:
+    """Whether the job's other claims at this moment allow a task of it in the machine's zone."""
     spec = job.spec
-    if not machine.allows(spec):
-        return False
     if spec.one_zone and any(count and zone != machine.zone for zone, count in job.zones.items()):
         return False
     return not (spec.spread and job.zones.get(machine.zone, 0) >= half_up(spec.tasks))
 
 
+def placeable(job: Job, machine: Machine) -> bool:
+    """Whether a task of the job may start there, given the job's other claims at this moment."""
+    return machine.allows(job.spec) and settled(job, machine)
+
+
 def locality(job: Job, machine: Machine) -> int:
     """The design's score with the image as the one dependency."""
     return 1 if job.spec.image in machine.cached else 0
 
 
 class Queues:
-    """The machines' queues. Tasks in them are neither claimed nor done."""
+    """The machines' queues. Tasks in them are neither claimed nor done.
+
+    Who is helped next is kept in order during a pass, not searched for anew by every free machine: with hundreds of
+    machines that search would be nearly all the work there is.
+    """
 
     def __init__(self) -> None:
         self._turn = 0
+        self._helping: dict[str, dict[str, int]] = {}  # straggler -> its helpers -> how many of its tasks they run
+        self._ranked: dict[str, Machine] = {}  # this pass's stragglers
+        self._order: list[tuple[int, int, str]] | None = None  # of these: helpers, finished, host
+        self._machines: list[Machine] = []
+
+    def begin(self, machines: list[Machine]) -> None:
+        """A pass begins: these may pull and be helped."""
+        self._machines, self._order = machines, None
+
+    def helpers(self, straggler: str) -> int:
+        """How many machines run tasks taken from this one's queue."""
+        return len(self._helping.get(straggler, ()))
+
+    def helped(self, straggler: str, helper: str, by: int) -> None:
+        """A helper runs one more (or, with -1, one less) of a straggler's tasks."""
+        if straggler == helper:
+            return
+        before = self.helpers(straggler)
+        tasks = self._helping.setdefault(straggler, {})
+        tasks[helper] = tasks.get(helper, 0) + by
+        if tasks[helper] <= 0:
+            del tasks[helper]
+        if not tasks:
+            del self._helping[straggler]
+        after = self.helpers(straggler)
+        machine = self._ranked.get(straggler)
+        if after != before and self._order is not None and machine is not None:
+            del self._order[bisect_left(self._order, (before, machine.finished, straggler))]
+            insort(self._order, (after, machine.finished, straggler))
+
+    def _stragglers(self) -> list[tuple[int, int, str]]:
+        if self._order is None:
+            self._ranked = {machine.host: machine for machine in self._machines if machine.queue}
+            self._order = sorted((self.helpers(host), one.finished, host) for host, one in self._ranked.items())
+        return self._order
 
     def deal(self, job: Job, machines: list[Machine]) -> None:
-        """Deal a job's undealt tasks round-robin to the machines that may run them."""
-        fit = [machine for machine in machines if machine.allows(job.spec)]
-        if not fit or not job.undealt:
+        """Deal a job's undealt tasks round-robin to the machines that may run them (``machines``)."""
+        if not machines or not job.undealt:
             return
         for index in job.undealt:
-            machine = fit[self._turn % len(fit)]
+            machine = machines[self._turn % len(machines)]
             self._turn += 1
             machine.queue.setdefault(job, deque()).append(index)
         job.queued += len(job.undealt)
@@ -75,29 +117,21 @@
         job.queued = 0
         job.undealt = []
 
-    def _pick(self, queue: dict[Job, deque[int]], machine: Machine, jobs: set[Job], score: int) -> Job | None:
+    @staticmethod
+    def _pick(queue: dict[Job, deque[int]], machine: Machine, jobs: set[Job]) -> Job | None:
         """The job whose task goes first by locality, then smallest id."""
-        best: Job | None = None
-        for job in queue:
-            if job not in jobs or locality(job, machine) < score:
-                continue
-            if best is not None and (-locality(job, machine), job.uid) >= (-locality(best, machine), best.uid):
-                continue
-            if machine.has_room(job.spec) and machine.host not in job.failed_hosts and placeable(job, machine):
-                best = job
-        return best
-
-    def pull(
-        self, machine: Machine, machines: list[Machine], jobs: set[Job], score: int
-    ) -> tuple[Job, int, str] | None:
-        """What a free machine does next, out of ``jobs``: its own queue first, then help for a straggler."""
-        job = self._pick(machine.queue, machine, jobs, score)
+        here = queue.keys() & jobs
+        return min(here, key=lambda job: (-locality(job, machine), job.uid)) if here else None
+
+    def pull(self, machine: Machine, jobs: set[Job]) -> tuple[Job, int, str] | None:
+        """What a free machine does next, out of ``jobs`` that it may run now: its own queue first, then help for a
+        straggler."""
+        job = self._pick(machine.queue, machine, jobs)
         if job is not None:
             return self._take(job, machine)
-        stragglers = [other for other in machines if other is not machine and other.queue]
-        stragglers.sort(key=lambda other: (helpers(other, machines), other.finished, other.host))
-        for straggler in stragglers:
-            job = self._pick(straggler.queue, machine, jobs, score)
+        for _, _, host in self._stragglers():
+            straggler = self._ranked[host]
+            job = self._pick(straggler.queue, machine, jobs)
             if job is not None:
                 return self._take(job, straggler)
         return None
@@ -111,18 +145,43 @@
         return job, index, owner.host
 
 
-def helpers(straggler: Machine, machines: Iterable[Machine]) -> int:
-    """How many machines run tasks taken from this one's queue."""
-    return sum(
-        1
-        for machine in machines
-        if machine is not straggler and any(claim.helped == straggler.host for claim in machine.claims.values())
-    )
-
-
-def tiers(
-    jobs: Iterable[Job], teams: Teams, rating: Callable[[Job], tuple[bool, int]], now: float
-) -> list[tuple[bool, set[Job]]]:
+class Tier:
+    """Jobs of equal standing, grouped by what decides where their tasks fit, so that a machine is asked once for
+    all jobs of one kind."""
+
+    def __init__(self, owed: bool, jobs: set[Job]) -> None:
+        self.owed, self.jobs = owed, jobs
+        self.rank = next(iter(jobs)).order[0]
+        self.groups: dict[Shape, dict[str, list[Job]]] = {}  # shape -> image -> jobs
+        for job in jobs:
+            self.groups.setdefault(job.shape, {}).setdefault(job.spec.image, []).append(job)
+
+    def candidates(self, machines: Iterable[Machine]) -> list[Machine]:
+        """The machines with room for any of the jobs."""
+        specs = [next(iter(images.values()))[0].spec for images in self.groups.values()]
+        return [one for one in machines if any(one.has_room(spec) and one.allows(spec) for spec in specs)]
+
+    def eligible(
+        self, machine: Machine, score: int, allowed: Callable[[JobSpec], bool], may_go: Callable[[Job], bool]
+    ) -> set[Job]:
+        """The jobs of which a task may start on the machine now, with a locality of at least ``score``."""
+        found: set[Job] = set()
+        for images in self.groups.values():
+            spec = next(iter(images.values()))[0].spec
+            if not machine.has_room(spec) or not machine.allows(spec) or not allowed(spec):
+                continue
+            if score:
+                local: Iterable[list[Job]] = (images[one] for one in machine.cached if one in images)
+            else:
+                local = images.values()
+            for jobs in local:
+                for job in jobs:
+                    if job.queued and machine.host not in job.failed_hosts and may_go(job) and settled(job, machine):
+                        found.add(job)
+        return found
+
+
+def tiers(jobs: Iterable[Job], teams: Teams, rating: Callable[[Job], tuple[bool, int]], now: float) -> list[Tier]:
     """Jobs that may start tasks now, grouped in the order of guarantee, rank and ``rating``; with each group whether
     it is owed to its team. Ratings are coarse, so that within a group the design's pick decides.
     """
@@ -130,7 +189,7 @@
     for job in jobs:
         if job.queued and job.final is None and now >= job.not_before and teams.room(job.spec):
             groups.setdefault((not teams.guaranteed(job.spec), *job.order, *rating(job)), set()).add(job)
-    return [(not key[0], groups[key]) for key in sorted(groups)]
+    return [Tier(not key[0], groups[key]) for key in sorted(groups)]
 
 
 def victims(machine: Machine, spec: JobSpec, preemptible: dict[Claim, float]) -> list[Claim] | None:
--- a/ladderfield/queues/test_queues.py
+++ b/ladderfield/queues/test_queues.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import msgspec
 
 from ladderfield.jobs.model import JobSpec, parse_types
-from ladderfield.queues.pick import Queues, half_up, placeable, tiers, victims
+from ladderfield.queues.pick import Queues, Tier, half_up, placeable, tiers, victims
 from ladderfield.queues.work import Claim, Job, ranges
 from ladderfield.settings import Team
 from ladderfield.teams import Teams
@@ -29,10 +30,9 @@
     return Machine(host, "10.9.0.1:90", KIND, zone, spot, 0.0)
 
 
-def bind(one: Job, index: int, where: Machine, helped: str | None = None) -> Claim:
+def bind(one: Job, index: int, where: Machine) -> Claim:
     """A claim on a machine."""
     claim = Claim(one, index, index + 1, where.host, where.zone)
-    claim.helped = helped
     one.bind(claim)
     where.take(claim)
     return claim
@@ -41,20 +41,26 @@
 def test_blocks_are_dealt_round_robin_to_machines_that_may_run_them() -> None:
     one, queues = make(rungs=5, yard="za"), Queues()
     a, b, other = machine("a"), machine("b"), machine("c", zone="zb")
-    queues.deal(one, [a, other, b])
+    queues.deal(one, [m for m in (a, other, b) if m.allows(one.spec)])
     assert [list(m.queue[one]) for m in (a, b)] == [[0, 2, 4], [1, 3]]
     assert not other.queue and one.queued == 5
 
 
+def pull(queues: Queues, one: Machine, machines: list[Machine], jobs: set[Job], score: int = 0) -> Any:
+    """What a free machine pulls in a pass of its own."""
+    queues.begin(machines)
+    return queues.pull(one, Tier(False, jobs).eligible(one, score, lambda spec: True, lambda job: True))
+
+
 def test_a_free_machine_pulls_from_its_own_queue_by_locality_then_smallest_id() -> None:
     first, second = make("req-000001", bundle="img-1"), make("req-000002", bundle="img-2")
     a, queues = machine("a"), Queues()
     queues.deal(second, [a])
     queues.deal(first, [a])
-    assert queues.pull(a, [a], {first, second}, 0) == (first, 0, "a")
+    assert pull(queues, a, [a], {first, second}) == (first, 0, "a")
     a.use_image("img-2", 1.0)
-    assert queues.pull(a, [a], {first, second}, 0) == (second, 0, "a")
-    assert queues.pull(a, [a], {first}, 1) is None, "asked for local work only"
+    assert pull(queues, a, [a], {first, second}) == (second, 0, "a")
+    assert pull(queues, a, [a], {first}, 1) is None, "asked for local work only"
 
 
 def test_an_empty_queue_helps_the_straggler_with_fewest_helpers_then_slowest() -> None:
@@ -64,9 +70,35 @@
     idle = machine("d")
     a.finished, b.finished = 5, 1
     everyone = [a, b, c, idle]
-    assert queues.pull(idle, everyone, {one}, 0) == (one, 1, "b"), "equal helpers: the slowest"
-    bind(one, 1, c, helped="b")
-    assert queues.pull(idle, everyone, {one}, 0) == (one, 0, "a"), "b has a helper already"
+    assert pull(queues, idle, everyone, {one}) == (one, 1, "b"), "equal helpers: the slowest"
+    queues.helped("b", "c", 1)
+    assert pull(queues, idle, everyone, {one}) == (one, 0, "a"), "b has a helper already"
+    queues.helped("b", "c", 1)
+    queues.helped("b", "c", -1)
+    assert queues.helpers("b") == 1, "c still runs one"
+    queues.helped("b", "c", -1)
+    assert queues.helpers("b") == 0
+
+
+def test_the_order_of_stragglers_is_the_searched_one_at_every_step_of_a_pass() -> None:
+    """Kept in order instead of searched for: both have to be the same."""
+    rng = random.Random(5)
+    queues = Queues()
+    machines = [machine(f"m{n:02}") for n in range(12)]
+    for one in machines:
+        one.finished = rng.randrange(3)
+    jobs = {make(f"req-{n:06}", rungs=20, cores=0.0) for n in range(4)}
+    for dealt in sorted(jobs, key=lambda job: job.uid):
+        queues.deal(dealt, rng.sample(machines, 5))
+    queues.begin(machines)
+    while any(dealt.queued for dealt in jobs):
+        helper = rng.choice([one for one in machines if not one.queue] or machines)
+        stragglers = [one for one in machines if one.queue and one is not helper]
+        stragglers.sort(key=lambda one: (queues.helpers(one.host), one.finished, one.host))
+        expected = helper.host if helper.queue else stragglers[0].host
+        pulled = queues.pull(helper, {dealt for dealt in jobs if dealt.queued})
+        assert pulled is not None and pulled[2] == expected
+        queues.helped(pulled[2], helper.host, 1)
 
 
 def test_placement_follows_zone_kind_and_the_jobs_other_claims() -> None:
@@ -101,7 +133,12 @@
     for one in jobs:
         one.queued = 1
     order = tiers(jobs, teams, lambda one: (False, 2 if one is late else 1), 0.0)
-    assert order == [(True, {owed}), (False, {high}), (False, {soon}), (False, {late})]
+    assert [(one.owed, one.jobs) for one in order] == [
+        (True, {owed}),
+        (False, {high}),
+        (False, {soon}),
+        (False, {late}),
+    ]
 
 
 def test_limit_and_guarantee_at_the_edge() -> None:
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -13,6 +13,7 @@
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
 
 TaskId = tuple[str, int]
+Shape = tuple[str, float, float, float, bool, str | None, tuple[str, ...] | None]
 
 
 def task_name(task: TaskId) -> str:
@@ -98,6 +99,7 @@
     """An accepted job that is not yet over, or whose claims still bind."""
 
     __slots__ = (
+        "_usual",
         "at",
         "block",
         "blocks",
@@ -113,6 +115,7 @@
         "not_before",
         "order",
         "queued",
+        "shape",
         "spec",
         "stamp",
         "uid",
@@ -137,6 +140,10 @@
         self.held: dict[str, float] = {}  # machines being cleared for its tasks, and until when
         self.finished_s: list[float] = []  # run times seen
         self.order = (RANKS[spec.rank],)
+        types = None if spec.types is None else tuple(spec.types)
+        # All that decides whether a task of it fits a machine and its team's account.
+        self.shape: Shape = (spec.team, spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone, types)
+        self._usual: tuple[int, float] = (0, 0.0)  # how many run times were seen, and the middle of them
 
     @property
     def block_total(self) -> int:
@@ -200,7 +207,9 @@
         """Expected run time of a task: the middle of what was seen, else the owner's estimate, set right by how
         far off the estimates of its class were lately."""
         if self.finished_s:
-            return sorted(self.finished_s)[len(self.finished_s) // 2]
+            if self._usual[0] != len(self.finished_s):
+                self._usual = (len(self.finished_s), sorted(self.finished_s)[len(self.finished_s) // 2])
+            return self._usual[1]
         return self.spec.estimate_s * bias
 
 
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -39,8 +39,11 @@
         "memory_gb",
         "queue",
         "recall_at",
+        "replicas",
+        "replicas_low",
         "seen",
         "sick",
+        "soft",
         "spot",
         "tenure",
         "tick",
@@ -59,6 +62,8 @@
         self.doubts: dict[int, int] = {}  # attempts of this session with so many unanswered launches by /orders
         self.queue: dict[Job, deque[int]] = {}
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb  # free
+        self.soft = [0.0, 0.0, 0.0]  # cpus, gpus, memory held by array tasks below production rank
+        self.replicas = self.replicas_low = 0  # claims of services, and of those below production rank
         self.cached: dict[str, float] = {}  # images that ran here, oldest use first
         self.finished = 0
         self.blamed: set[str] = set()  # jobs whose tasks failed here since the last success
@@ -84,26 +89,43 @@
     @property
     def keeps_up(self) -> bool:
         """Whether a replica runs here, so that the machine stays whatever else it does."""
-        return any(claim.job.spec.service for claim in self.claims.values())
+        return self.replicas > 0
+
+    def could_clear(self, spec: JobSpec) -> bool:
+        """Whether one more production task might fit if all lower ranks left."""
+        return self.replicas_low > 0 or (
+            spec.cpus <= self.cpus + self.soft[0] + SLACK
+            and spec.memory_gb <= self.memory_gb + self.soft[2] + SLACK
+            and spec.gpus <= self.gpus + self.soft[1] + SLACK
+        )
+
+    def _count(self, claim: Claim, by: int) -> None:
+        spec = claim.job.spec
+        self.cpus -= by * spec.cpus
+        self.gpus -= by * spec.gpus
+        self.memory_gb -= by * spec.memory_gb
+        self.replicas += by * spec.service
+        if claim.job.order[0] > 0 and spec.service:
+            self.replicas_low += by
+        elif claim.job.order[0] > 0:
+            self.soft[0] += by * spec.cpus
+            self.soft[1] += by * spec.gpus
+            self.soft[2] += by * spec.memory_gb
 
     def take(self, claim: Claim) -> None:
         """Bind room for a claim."""
-        spec = claim.job.spec
         self.claims[claim.task] = claim
-        self.cpus -= spec.cpus
-        self.gpus -= spec.gpus
-        self.memory_gb -= spec.memory_gb
+        self._count(claim, 1)
         self.idle_since = None
 
     def free(self, claim: Claim, now: float) -> None:
         """Give the room back."""
-        spec = claim.job.spec
         del self.claims[claim.task]
-        self.cpus += spec.cpus
-        self.gpus += spec.gpus
-        self.memory_gb += spec.memory_gb
+        self._count(claim, -1)
         if not self.claims:
+            # Nothing is left of what rounding has gathered.
             self.cpus, self.gpus, self.memory_gb = self.kind.cpus, self.kind.gpus, self.kind.memory_gb
+            self.soft = [0.0, 0.0, 0.0]
             self.idle_since = now
 
     def use_image(self, image: str, size_gb: float) -> None:
