Claims and ends of many jobs share a page; a pass waits for the writer; hires in rounds

Cause: a record for each job was a change a second for each running job, more than 20 to 25 changes a second for all. Change: one put holds what a pass claimed and what finished, on the emptiest page; ends of jobs keep their own key. A pass begins when its claims can be recorded at once, and takes a fifth of the loop's time at most.

--- a/ladderfield/budget.py
+++ b/ladderfield/budget.py
@@ -22,6 +22,18 @@
         self._level = min(self._most, self._level + (now - self._at) * self.rate)
         self._at = now
 
+    def level(self) -> int:
+        """What can be taken at once."""
+        self._refill()
+        return int(self._level)
+
+    async def ready(self, amount: float) -> None:
+        """Wait until so much can be taken at once."""
+        self._refill()
+        wait = (min(amount, self._most) - self._level) / self.rate
+        if wait > 0:
+            await trio.sleep(wait)
+
     async def take(self, amount: float = 1.0, patience: float = float("inf"), urgent: bool = False) -> bool:
         """Take tokens, waiting if need be; False at once if the wait would exceed the caller's patience."""
         self._refill()
--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
+from ladderfield.fleet.cloud import RENT_MOST
 from ladderfield.foreman.desk import Desk
 from ladderfield.jobs.model import JobSpec, MachineType, fits
 from ladderfield.queues.work import Job, Shape
@@ -27,6 +28,7 @@
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
 SPARE = 1.0  # standard deviations over the number of services expected while a machine boots: room kept ready
 
+HIRES = 2  # of the most machines a hire may ask for: of one offer in one plan
 NOTHING = [0.0, 0.0, 0.0]
 Offer = tuple[str, str, bool]  # type, zone, spot
 
@@ -150,6 +152,10 @@
             self._array_cpus[shape] = sum(room.for_arrays for room in self.rooms if room.allows(spec))
         return self._array_cpus[shape]
 
+    def may_add(self, offer: Offer) -> bool:
+        """Whether the plan goes on with these. What one round of hires can't bring is for the next plan to weigh."""
+        return self.planned.get(offer, 0) < RENT_MOST * HIRES
+
     def add(self, offer: Offer, kind: MachineType) -> Room:
         """One more machine to rent."""
         room = Room(None, kind, offer[1], offer[2])
@@ -215,7 +221,7 @@
             if need <= 0:
                 return
             need -= room.place(spec, need)
-        while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)):
+        while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)) and plan.may_add(offer):
             placed = plan.add(offer, self.desk.types[offer[0]]).place(spec, need)
             if not placed:
                 break
@@ -233,7 +239,7 @@
                     break
                 tasks -= room.place(spec, tasks, free_only=True)
             for spot in (True, False) if spec.spot else (False,):
-                while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)):
+                while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)) and plan.may_add(offer):
                     kind = desk.types[offer[0]]
                     horizon = HORIZON * kind.boot_s
                     if not spot:
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -16,7 +16,7 @@
 
 from ladderfield.fleet.cloud import DELETE_MOST, RENT_MOST, Cloud, CloudTrouble, Listed, NoCapacity
 from ladderfield.fleet.plan import Offer, Planner, Rental
-from ladderfield.foreman.desk import Desk
+from ladderfield.foreman.desk import SILENT, Desk
 from ladderfield.foreman.ledger import Ledger, Txn
 from ladderfield.http import Client, NoAnswer
 from ladderfield.jobs.model import TYPES, parse_types
@@ -28,8 +28,11 @@
 
 log = logging.getLogger(__name__)
 
-INBOX = 64
-COURIERS = 16  # pushes at once
+INBOX = 256
+COURIERS = 64  # pushes at once
+SLOW_SHARE = 0.5  # of them: for machines that may not answer
+PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
+WRITES_LEAST = 0.25  # of a transaction's limit: what it may hold at least before the next one is begun
 TICK = 1 / 6  # of report_s
 BATCH = 1 / 3  # of report_s: how long finished tasks may wait to be recorded together
 PUSH_S = 1.0  # of report_s: how long a push waits for its answer
@@ -66,6 +69,10 @@
         self.txn, self.outcome, self.stamps = txn, outcome, stamps
 
 
+class Ready:
+    """The writer may take the next transaction."""
+
+
 class Pushed:
     """A courier is back: with the machine's report, or (None) without an answer."""
 
@@ -87,10 +94,10 @@
 class Rented:
     """A rental's end: the hosts, or none."""
 
-    __slots__ = ("hosts", "offer", "refused")
+    __slots__ = ("hosts", "name", "offer", "refused")
 
-    def __init__(self, offer: Offer, hosts: list[str], refused: bool) -> None:
-        self.offer, self.hosts, self.refused = offer, hosts, refused
+    def __init__(self, name: str, offer: Offer, hosts: list[str], refused: bool) -> None:
+        self.name, self.offer, self.hosts, self.refused = name, offer, hosts, refused
 
 
 class Deleted:
@@ -124,10 +131,10 @@
         self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
         self.planner = Planner(self.desk)
         self._to_push: set[str] = set()
-        self._pushing: set[str] = set()
+        self._pushing: dict[str, bool] = {}  # and whether the machine was silent then
         self._writing = False
-        self._recorded_at = self._planned_at = -math.inf
-        self._renting: dict[Offer, int] = {}
+        self._recorded_at = self._planned_at = self._pass_at = -math.inf
+        self._renting: dict[str, Offer] = {}  # hires under way
         self._hires = 0
         self._deleting: set[str] = set()
         self._clients: dict[str, Client] = {}
@@ -165,6 +172,7 @@
             Reported: self._on_report,
             Changed: self._on_changed,
             Committed: self._on_committed,
+            Ready: self._on_ready,
             Pushed: self._on_pushed,
             Seen: self._on_seen,
             Rented: self._on_rented,
@@ -198,29 +206,42 @@
 
     def _advance(self, now: float) -> None:
         """After the messages: schedule, record, push, and plan."""
-        starting = self.term.may_start(now)
-        if starting and self.desk.changed:
+        # A pass is worth its time only when what it claims can be recorded at once, and as far as passes leave time for
+        # all else: a flood of reports shares them.
+        if self.desk.changed and not self._writing and now >= self._pass_at and self.term.may_start(now):
             self.desk.schedule(now)
+            took = trio.current_time() - now
+            now += took
+            self._pass_at = now + took * (1 / PASS_SHARE - 1)
         if not self._writing:
             batch = now - self._recorded_at >= BATCH * self.report_s
-            txn = self.ledger.collect(batch)
+            txn = self.ledger.collect(batch, self.client.foreman_writes.level())
             if txn is not None:
                 if batch:
                     self._recorded_at = now
                 self._writing = True
                 self._txns.send_nowait(txn)
+        self._push(now)
+
+    def _push(self, now: float) -> None:
+        """Send couriers out. Machines that were not heard lately may let theirs wait long; these get only a part."""
+        silence = SILENT * self.report_s
+        slow = sum(1 for silent in self._pushing.values() if silent)
         for host in list(self._to_push):
-            if host in self._pushing:
-                continue
             if len(self._pushing) >= COURIERS:
                 break
-            self._to_push.discard(host)
             machine = self.desk.machines.get(host)
             if machine is None or not machine.endpoint:
+                self._to_push.discard(host)
                 continue
+            silent = machine.heard_at is None or now - machine.heard_at > silence
+            if host in self._pushing or (silent and slow >= COURIERS * SLOW_SHARE):
+                continue
+            self._to_push.discard(host)
             orders = self.desk.sessions.orders(machine, now, None) if machine.epoch == self.term.epoch else []
             if orders or machine.epoch != self.term.epoch:
-                self._pushing.add(host)
+                slow += silent
+                self._pushing[host] = silent
                 self.nursery.start_soon(self._courier, machine, orders)
 
     # -- messages ----------------------------------------------------------------------------------------------
@@ -236,8 +257,6 @@
         machine = self.desk.sessions.report(report, now, answering=True)
         orders: list[dict[str, Any]] = []
         if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
-            if self.desk.changed and self.term.may_start(now):
-                self.desk.schedule(now)
             orders = self.desk.sessions.orders(machine, now, report.tick)
         message.answer = {"epoch": self.term.epoch, "orders": orders}
         message.done.set()
@@ -248,8 +267,10 @@
                 self.term.end(f"epoch {change.value['epoch']} is on record")
         self.desk.take_changes(message.changes, now)
 
-    def _on_committed(self, message: Committed, now: float) -> None:
+    def _on_ready(self, message: Ready, now: float) -> None:
         self._writing = False
+
+    def _on_committed(self, message: Committed, now: float) -> None:
         if message.outcome.failed is None:
             self.ledger.applied(message.txn, message.outcome.ledger)
         elif EPOCH in message.outcome.failed:
@@ -258,7 +279,7 @@
             self.ledger.restamp(message.txn, message.stamps)
 
     def _on_pushed(self, message: Pushed, now: float) -> None:
-        self._pushing.discard(message.host)
+        self._pushing.pop(message.host, None)
         machine = self.desk.machines.get(message.host)
         if machine is None or message.report is None or message.report.host != message.host:
             return
@@ -285,7 +306,7 @@
                 self._to_push.add(one.host)  # raise the epoch there
 
     def _on_rented(self, message: Rented, now: float) -> None:
-        self._renting.pop(message.offer, None)
+        self._renting.pop(message.name, None)
         if message.refused:
             self.planner.refuse(message.offer, now)
             self._planned_at = -math.inf  # look for something else at once
@@ -340,11 +361,14 @@
         return any(claim.stopping is not None and claim.stop_at == -math.inf for claim in machine.claims.values())
 
     def _rent(self, rental: Rental) -> None:
-        self._hires += 1
-        # No other foreman has this epoch, so no other hire can ever have this name; the epoch's record came first.
-        name = f"lf-{self.term.epoch}-{self._hires}"
-        self._renting[rental.offer] = rental.count
-        self.nursery.start_soon(self._renter, name, rental)
+        """Ask for machines, in as many hires as the cloud's bound on one makes it."""
+        for first in range(0, rental.count, RENT_MOST):
+            self._hires += 1
+            # No other foreman has this epoch, so no other hire can ever have this name; the epoch's record came first.
+            name = f"lf-{self.term.epoch}-{self._hires}"
+            self._renting[name] = rental.offer
+            count = min(RENT_MOST, rental.count - first)
+            self.nursery.start_soon(self._renter, name, Rental(rental.offer, count))
 
     # -- helpers -----------------------------------------------------------------------------------------------
 
@@ -374,6 +398,9 @@
                     log.debug("epoch %d: a write waits: %s", self.term.epoch, error)
                     await trio.sleep(pause)
             await self.send.send(Committed(txn, outcome, stamps))
+            # The next one is put together only when it can go out, so that it holds all that has gathered.
+            await self.client.foreman_writes.ready(WRITES_LEAST * self.settings.cluster.state.txn_ops)
+            await self.send.send(Ready())
 
     async def _courier(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
         host, tenure = machine.host, max(machine.tenure, 1)
@@ -419,7 +446,7 @@
 
     async def _renter(self, name: str, rental: Rental) -> None:
         kind, zone, spot = rental.offer
-        count = min(rental.count, RENT_MOST)
+        count = rental.count
         hosts: list[str] = []
         refused = False
         while True:
@@ -435,7 +462,7 @@
             except CloudTrouble as error:
                 log.info("hire %s: %s", name, error)
                 await trio.sleep(self.report_s / 2)
-        await self.send.send(Rented(rental.offer, hosts, refused))
+        await self.send.send(Rented(name, rental.offer, hosts, refused))
 
     async def _delete(self, hosts: list[str]) -> None:
         try:
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -14,11 +14,12 @@
 import msgspec
 
 from ladderfield.foreman.outlook import Outlook
+from ladderfield.foreman.pages import Page, Pages
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
-from ladderfield.jobs.model import BLOCK, CANCELLED, FINAL, JOB, TYPES, JobSpec, MachineType, parse_types
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
 from ladderfield.queues.pick import Queues, Tier, tiers
-from ladderfield.queues.work import Claim, Job, Shape, task_name
+from ladderfield.queues.work import Claim, Job, Shape, TaskId, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
 from ladderfield.teams import Teams
@@ -55,7 +56,12 @@
         self.queues = Queues()
         self.types: dict[str, MachineType] = {}
         self.cancelled_at: dict[str, float] = {}
-        self.orphans: dict[str, int] = {}  # records of blocks whose job is over: to be deleted
+        # What is to be recorded: claims, ends of tasks, jobs that are complete, and jobs of which nothing is left.
+        self.pages = Pages(settings.cluster.state.value_kb)
+        self.unrecorded: dict[Claim, None] = {}
+        self.unsettled: dict[Job, None] = {}
+        self.complete: dict[Job, None] = {}
+        self.over: dict[Job, None] = {}
         self.changed = True  # something since the last pass could let a task start
         self._attempts = 0
         self.outlook = Outlook(settings)
@@ -71,25 +77,58 @@
         jobs = [pair for key, pair in data.items() if key.startswith(JOB)]
         for value, stamp in sorted(jobs, key=lambda pair: pair[0]["at"]):
             self._add_job(value, stamp)
-        for key, (value, stamp) in data.items():
-            if key.startswith(BLOCK):
-                self._load_block(key, value, stamp, now)
-            elif key.startswith(FINAL):
+        for key, (value, _) in data.items():
+            if key.startswith(FINAL):
                 self._finalised(key, value, now)
+        claims: dict[TaskId, Claim] = {}
+        for key, (value, stamp) in data.items():
+            if key.startswith(PAGE):
+                self._load_page(self.pages.load(int(key.removeprefix(PAGE)), stamp), value, claims)
+        for claim in claims.values():
+            if claim.index not in claim.job.finished:
+                self._inherit(claim, now)
+        for job in self.jobs.values():
+            self._see_end(job)
+
+    def _load_page(self, page: Page, value: dict[str, Any], claims: dict[TaskId, Claim]) -> None:
+        """Ends of tasks at once; of the claims the latest of each task is gathered."""
+        for uid, entry in value.items():
+            job = self.jobs.get(uid)
+            if job is None or job.final == DONE:
+                self.pages.spoil(page)
+                continue
+            for first, last in entry.get("d", ()):
+                page.add_done(job, range(first, last + 1))
+                job.finished.update(range(first, last + 1))
+            for index, (attempt, host, zone) in entry.get("a", {}).items():
+                claim = Claim(job, int(index), attempt, host, zone)
+                claim.page, claim.recorded, claim.inherited = page, True, True
+                other = claims.get(claim.task)
+                if other is None or other.attempt < attempt:
+                    claims[claim.task] = claim
+                if other is not None:
+                    self.pages.spoil(page if other.attempt >= attempt else other.page or page)
+
+    def _inherit(self, claim: Claim, now: float) -> None:
+        """A claim that an earlier foreman left on record binds."""
+        assert claim.page is not None
+        claim.page.add_claim(claim)
+        claim.job.bind(claim)
+        machine = self.machines.get(claim.host)
+        if machine is None:
+            machine = self.machines[claim.host] = Machine(claim.host, "", UNKNOWN, claim.zone, True, now)
+        machine.take(claim)
+        self.teams.add(claim.job.spec)
+        if claim.job.final is not None:
+            self.stop(claim, "cancelled", now)
 
-    def _load_block(self, key: str, value: Any, stamp: int, now: float) -> None:
-        uid, _, number = key.removeprefix(BLOCK).rpartition("/")
-        job = self.jobs.get(uid)
-        if job is None:
-            self.orphans[key] = stamp
-            return
-        block = job.load(int(number), value, stamp)
-        for claim in block.claims.values():
-            machine = self.machines.get(claim.host)
-            if machine is None:
-                machine = self.machines[claim.host] = Machine(claim.host, "", UNKNOWN, claim.zone, True, now)
-            machine.take(claim)
-            self.teams.add(job.spec)
+    def _see_end(self, job: Job) -> None:
+        """Notice that a job is complete, or that nothing is left of one that is over."""
+        if job.final is None:
+            if job.complete:
+                self.complete[job] = None
+        elif not job.claims:
+            self.over[job] = None
 
     def _add_job(self, value: Any, stamp: int) -> None:
         spec = msgspec.convert(value["spec"], JobSpec)
@@ -102,13 +141,27 @@
         job = self.jobs.get(key.removeprefix(FINAL))
         if job is None or job.final is not None:
             return
-        job.final = value["phase"]
-        if job.final == CANCELLED:
+        if value["phase"] == CANCELLED:
             self.cancelled_at[job.uid] = value.get("at", self.wall_offset + self.term_from) - self.wall_offset
             log.info("job %s: cancelled, stopping %d tasks", job.uid, len(job.claims))
-        self.queues.drop(job, self.machines.values())
         for claim in list(job.claims.values()):
             self.stop(claim, "cancelled", now)
+        self.finalised(job, value["phase"])
+
+    def finalised(self, job: Job, phase: str) -> None:
+        """The job's final state is on record; no task of it starts any more."""
+        job.final = phase
+        self.queues.drop(job, self.machines.values())
+        self.complete.pop(job, None)
+        self.unsettled.pop(job, None)
+        self.pages.over(job)
+        self._see_end(job)
+
+    def drop_job(self, job: Job) -> None:
+        """The job's record is deleted."""
+        self.over.pop(job, None)
+        self.jobs.pop(job.uid, None)
+        self.cancelled_at.pop(job.uid, None)
 
     def take_changes(self, changes: Iterable[Change], now: float) -> None:
         """Changes made by other controllers' front doors (and our own)."""
@@ -131,7 +184,7 @@
         claim.helped = helped
         self.queues.helped(helped, machine.host, 1)
         job.bind(claim)
-        job.block_of(index).touch()
+        self.unrecorded[claim] = None
         machine.take(claim)
         self.teams.add(job.spec)
         log.debug("task %s: attempt %d claimed for %s", task_name(claim.task), claim.attempt, machine.host)
@@ -145,13 +198,18 @@
         if claim.helped is not None:
             self.queues.helped(claim.helped, claim.host, -1)
         job.release(claim)
+        self.unrecorded.pop(claim, None)
+        self.pages.ended(claim, done)
         self.teams.add(job.spec, -1)
         self.changed = True
         if done:
-            job.block_of(claim.index).done.add(claim.index)
-            job.done += 1
+            job.finished.add(claim.index)
+            job.unsettled.add(claim.index)
+            if job.final is None:
+                self.unsettled[job] = None
         elif job.final is None:
             self.queues.put_back(job, claim.index)
+        self._see_end(job)
 
     def stop(self, claim: Claim, why: str, now: float) -> None:
         """Have a claim's task stopped; one whose launch never went out ends here."""
@@ -229,7 +287,7 @@
         made = 0
         while (jobs := tier.eligible(machine, score, allowed, may_go)) and (pulled := self.queues.pull(machine, jobs)):
             job, index, owner = pulled
-            if index in job.claims or index in job.block_of(index).done:
+            if index in job.claims or index in job.finished:
                 # Whatever the queues say: a task whose claim binds, or that is done, is never claimed again.
                 log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
                 continue
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -1,4 +1,4 @@
-"""What the foreman writes: batches of block records, ends of jobs, and the clearing away of what is over.
+"""What the foreman writes: pages of claims and finished tasks, ends of jobs, and the clearing away of what is over.
 
 One transaction is under way at a time and each is repeated unchanged until it is answered, or its guards fail.
 Every one is guarded by the epoch's version, so that a deposed foreman can't write, and by the version of each
@@ -11,10 +11,10 @@
 from typing import Any
 
 from ladderfield.foreman.desk import Desk
-from ladderfield.http import encode
-from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, block_key
+from ladderfield.foreman.pages import JOB_BYTES, TASK_BYTES, Page, claim_bytes, encoded_size
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB
 from ladderfield.leadership import EPOCH
-from ladderfield.queues.work import Block, Claim, Job
+from ladderfield.queues.work import Claim, Job
 
 log = logging.getLogger(__name__)
 
@@ -24,15 +24,16 @@
 class Txn:
     """One transaction, and what it will have recorded."""
 
-    __slots__ = ("blocks", "deletes", "finals", "guards", "orphans", "puts", "size")
+    __slots__ = ("deletes", "ended", "finals", "guards", "most", "pages", "puts", "size")
 
-    def __init__(self, epoch_stamp: int) -> None:
+    def __init__(self, epoch_stamp: int, most: int) -> None:
+        self.most = most
         self.guards: dict[str, int] = {EPOCH: epoch_stamp}
         self.puts: dict[str, Any] = {}
         self.deletes: list[str] = []
-        self.blocks: list[tuple[Block, int, list[Claim]]] = []
-        self.finals: list[Job] = []
-        self.orphans: list[str] = []
+        self.pages: dict[Page, tuple[list[Claim], dict[Job, set[int]]]] = {}
+        self.finals: list[Job] = []  # jobs that are called done here
+        self.ended: list[Job] = []  # jobs whose record is deleted here
         self.size = 0
 
     @property
@@ -40,6 +41,11 @@
         """Puts and deletes, which the state service counts as writes."""
         return len(self.puts) + len(self.deletes)
 
+    @property
+    def left(self) -> int:
+        """How many more of these it may hold."""
+        return self.most - self.ops
+
 
 class Ledger:
     """Builds the foreman's transactions and takes their outcome in."""
@@ -47,123 +53,109 @@
     def __init__(self, desk: Desk, epoch_stamp: int, txn_ops: int) -> None:
         self.desk, self.epoch_stamp, self.most = desk, epoch_stamp, txn_ops
 
-    def collect(self, finished_too: bool) -> Txn | None:
-        """The next transaction, or None if there is nothing to record.
+    def collect(self, finished_too: bool, most: int | None = None) -> Txn | None:
+        """The next transaction, of at most so many changes, or None if there is nothing to record.
 
-        New claims go first, since a task waits for them. Without ``finished_too`` blocks that only have finished
-        tasks to tell are left for a later, fuller batch.
+        New claims go first, since a task waits for them, then jobs that are done, since a user waits. The ends of
+        single tasks go along; without ``finished_too`` they don't cause a write of their own. What is over is
+        cleared away with what is left of the changes.
         """
-        txn = Txn(self.epoch_stamp)
-        dirty: list[tuple[bool, Block]] = []
-        for job in list(self.desk.jobs.values()):
-            if job.final is None and job.complete:
-                self._finish(txn, job)
-            elif job.final is not None and not job.claims:
-                self._clear(txn, job)
-            else:
-                for block in job.dirty.values():
-                    new = any(not claim.recorded for claim in block.claims.values())
-                    if new or finished_too:
-                        dirty.append((not new, block))
-        dirty.sort(key=lambda one: one[0])
-        for _, block in dirty:
-            if txn.ops >= self.most or txn.size > BYTES:
+        txn = Txn(self.epoch_stamp, min(most or self.most, self.most))
+        desk = self.desk
+        for page in [page for page in desk.pages.pages if page.owing]:
+            self._write(txn, page)
+        for job in list(desk.complete):
+            if txn.left < 2 and (txn.left < 1 or desk.unrecorded):  # one is kept for a page of claims
                 break
-            self._write(txn, block)
+            txn.guards[FINAL + job.uid] = 0
+            txn.puts[FINAL + job.uid] = {"phase": DONE, "done": job.spec.tasks}
+            txn.finals.append(job)
+        ends = {job: job.unsettled for job in desk.unsettled if job not in txn.finals}
+        if desk.unrecorded or (ends and (finished_too or txn.ops)):
+            self._fill(txn, ends)
+        if finished_too or txn.ops:
+            for job in [*txn.finals, *desk.over]:
+                self._clear(txn, job)
         if finished_too:
-            for key, stamp in list(self.desk.orphans.items()):
-                if txn.ops >= self.most:
-                    break
-                txn.guards[key] = stamp
-                txn.deletes.append(key)
-                txn.orphans.append(key)
+            for page in list(desk.pages.dirty):
+                self._write(txn, page)
         return txn if txn.ops else None
 
-    def _write(self, txn: Txn, block: Block) -> None:
-        value = block.value()
-        size = len(encode(value))
-        if txn.size and txn.size + size > BYTES:
-            return
-        key = block_key(block.job.uid, block.number)
-        txn.guards[key] = block.stamp
-        txn.puts[key] = value
-        txn.blocks.append((block, block.version, list(block.claims.values())))
-        txn.size += size
-
-    def _finish(self, txn: Txn, job: Job) -> None:
-        """All tasks are done: the final state, in one step with the end of the job's record."""
-        if txn.ops + 2 > self.most:
+    def _fill(self, txn: Txn, ends: dict[Job, set[int]]) -> None:
+        """Put new claims and ends of tasks on as few pages as they fit."""
+        pages = self.desk.pages
+        claims = list(self.desk.unrecorded)[::-1]  # the last of the list is the oldest
+        while (claims or ends) and txn.left > 0 and txn.size + pages.most < BYTES:
+            page = pages.roomiest(set(txn.pages))
+            room = pages.most - page.size
+            while claims and claim_bytes(claims[-1]) <= room:
+                claim = claims.pop()
+                room -= claim_bytes(claim)
+                page.add_claim(claim)
+                del self.desk.unrecorded[claim]
+            for job in list(ends):
+                if room < JOB_BYTES + TASK_BYTES:
+                    break
+                part = sorted(ends[job])[: (room - JOB_BYTES) // TASK_BYTES]
+                room -= JOB_BYTES + len(part) * TASK_BYTES
+                page.add_done(job, part)
+                rest = ends.pop(job).difference(part)
+                if rest:
+                    ends[job] = rest
+                else:
+                    self.desk.unsettled.pop(job, None)
+            self._write(txn, page)
+
+    def _write(self, txn: Txn, page: Page) -> None:
+        if page in txn.pages or txn.left < 1 or txn.size + self.desk.pages.most > BYTES:
             return
-        txn.guards[FINAL + job.uid] = 0
-        txn.puts[FINAL + job.uid] = {"phase": DONE, "done": job.spec.tasks}
-        self._clear(txn, job)
+        txn.guards[page.key] = page.stamp
+        txn.puts[page.key] = page.value()
+        txn.pages[page] = (list(page.claims), {job: set(tasks) for job, tasks in page.done.items()})
+        txn.size += encoded_size(page)
+        page.dirty = page.owing = False
+        self.desk.pages.dirty.discard(page)
 
     def _clear(self, txn: Txn, job: Job) -> None:
-        if txn.ops + 1 > self.most:
+        if txn.left < 1:
             return
         txn.guards[JOB + job.uid] = job.stamp
         txn.deletes.append(JOB + job.uid)
-        txn.finals.append(job)
-        for block in job.blocks.values():
-            if block.stamp and txn.ops < self.most:
-                key = block_key(job.uid, block.number)
-                txn.guards[key] = block.stamp
-                txn.deletes.append(key)
+        txn.ended.append(job)
 
     def applied(self, txn: Txn, ledger: int) -> None:
         """The transaction is on record."""
-        for block, version, claims in txn.blocks:
-            block.stamp, block.written = ledger, version
-            if block.settled:
-                block.job.dirty.pop(block.number, None)
+        desk = self.desk
+        for page, (claims, done) in txn.pages.items():
+            page.stamp = ledger
             for claim in claims:
-                claim.recorded = True
-                machine = self.desk.machines.get(claim.host)
-                if machine is not None and claim.sent_tenure is None and claim.attempt == self._attempt(machine, claim):
-                    self.desk.push(machine)
+                if not claim.recorded:
+                    claim.recorded = True
+                    if claim.job.claims.get(claim.index) is claim and claim.stopping is None:
+                        desk.push(desk.machines[claim.host])
+            for job, tasks in done.items():
+                job.unsettled -= tasks
         for job in txn.finals:
-            if job.final is None:
-                log.info("job %s: done", job.uid)
-            else:
+            log.info("job %s: done", job.uid)
+            desk.finalised(job, DONE)
+        for job in txn.ended:
+            if job not in txn.finals:
                 log.info("job %s: %s and off all machines", job.uid, job.final)
-            for block in job.blocks.values():
-                key = block_key(job.uid, block.number)
-                if block.stamp and key not in txn.deletes:
-                    self.desk.orphans[key] = block.stamp
-            self.desk.jobs.pop(job.uid, None)
-            self.desk.cancelled_at.pop(job.uid, None)
-        for key in txn.orphans:
-            self.desk.orphans.pop(key, None)
-
-    @staticmethod
-    def _attempt(machine: Any, claim: Claim) -> int | None:
-        current = machine.claims.get(claim.task)
-        return None if current is None else current.attempt
+            desk.drop_job(job)
 
     def restamp(self, txn: Txn, stamps: dict[str, int]) -> None:
         """Guards failed because an earlier copy of a transaction was applied after all: take the versions on record
         and write again, with what is known now."""
-        for block, _, _ in txn.blocks:
-            key = block_key(block.job.uid, block.number)
-            if key in stamps:
-                block.stamp = stamps[key]
-                block.touch()
+        for page in txn.pages:
+            page.stamp = stamps.get(page.key, page.stamp)
+            page.owing = True
         for job in txn.finals:
             if stamps.get(FINAL + job.uid) and job.final is None:
                 # Cancelled at the last moment, or done by our own earlier copy. Either way it is final; the view
                 # will say which, and all that is left here is to clear the job away.
-                job.final = CANCELLED
+                self.desk.finalised(job, CANCELLED)
+        for job in txn.ended:
             if JOB + job.uid in stamps:
                 job.stamp = stamps[JOB + job.uid]
                 if job.stamp == 0:
-                    self.desk.jobs.pop(job.uid, None)
-            for block in job.blocks.values():
-                key = block_key(job.uid, block.number)
-                if key in stamps:
-                    block.stamp = stamps[key]
-        for key in txn.orphans:
-            if key in stamps:
-                if stamps[key]:
-                    self.desk.orphans[key] = stamps[key]
-                else:
-                    self.desk.orphans.pop(key, None)
+                    self.desk.drop_job(job)
--- /dev/null
+++ b/ladderfield/foreman/pages.py
@@ -0,0 +1,133 @@
+"""Pages: the records that hold the claims and finished ranges of many jobs at once.
+
+The state service counts changes, not bytes, and allows a fifth of a change per machine and second at most. So what a
+pass claims, and what finished meanwhile, goes out as one or two puts, whoever's tasks they are. A page is always
+rewritten whole, with what is still live of it, so that it never has to be cleaned: the emptiest one takes what is new.
+
+What is on a page may be out of date in one way only: a claim may stand there that has ended since. Reading that back
+(a takeover) is harmless. A claim of a task that is done counts for nothing, of two claims of a task the later attempt
+counts, since it was made only when the earlier one was surely gone, and one that counts wrongly binds until its
+machine says that it has no such task.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from ladderfield.http import encode
+from ladderfield.jobs.model import page_key
+from ladderfield.queues.work import Claim, Job, ranges
+
+FULL = 15 / 16  # of the state service's limit on a value
+CLAIM_BYTES, TASK_BYTES, JOB_BYTES = 72, 16, 48  # the most that one takes in a page, names of host and zone apart
+
+
+class Page:
+    """One record."""
+
+    __slots__ = ("claims", "dirty", "done", "number", "owing", "size", "stamp")
+
+    def __init__(self, number: int, stamp: int = 0) -> None:
+        self.number, self.stamp = number, stamp
+        self.claims: dict[Claim, None] = {}
+        self.done: dict[Job, set[int]] = {}
+        self.size = 0  # an upper bound of the value's bytes, as it would be written now
+        self.dirty = False  # the record still has what is no longer so
+        self.owing = False  # it holds what is not on record, since a write of it failed
+
+    @property
+    def key(self) -> str:
+        """Its key."""
+        return page_key(self.number)
+
+    def add_claim(self, claim: Claim) -> None:
+        """The claim is to be kept here."""
+        self.claims[claim] = None
+        claim.page = self
+        self.size += claim_bytes(claim)
+
+    def drop_claim(self, claim: Claim) -> None:
+        """It has ended."""
+        if self.claims.pop(claim, self) is None:
+            self.size -= claim_bytes(claim)
+
+    def add_done(self, job: Job, tasks: Iterable[int]) -> None:
+        """The ends of these tasks are to be kept here."""
+        if job not in self.done:
+            self.size += JOB_BYTES
+        known = self.done.setdefault(job, set())
+        before = len(known)
+        known.update(tasks)
+        self.size += (len(known) - before) * TASK_BYTES
+
+    def drop_job(self, job: Job) -> None:
+        """The job's final state is on record, which says it all."""
+        if job in self.done:
+            self.size -= len(self.done.pop(job)) * TASK_BYTES + JOB_BYTES
+
+    def value(self) -> dict[str, Any]:
+        """The record: of each job its finished ranges (d) and claims (a: task -> attempt, machine, zone)."""
+        value: dict[str, Any] = {}
+        for job, tasks in self.done.items():
+            value.setdefault(job.uid, {})["d"] = ranges(tasks)
+        for claim in self.claims:
+            claims = value.setdefault(claim.job.uid, {}).setdefault("a", {})
+            claims[str(claim.index)] = [claim.attempt, claim.host, claim.zone]
+        return value
+
+
+def claim_bytes(claim: Claim) -> int:
+    """The most that a claim adds to a page, its job's name included."""
+    return CLAIM_BYTES + len(claim.host) + len(claim.zone)
+
+
+class Pages:
+    """All pages. Their numbers have no gaps, so that a reader finds all of them."""
+
+    def __init__(self, value_kb: float) -> None:
+        self.pages: list[Page] = []
+        self.most = int(value_kb * 1024 * FULL)
+        self.dirty: set[Page] = set()
+
+    def load(self, number: int, stamp: int) -> Page:
+        """A page found on record."""
+        while len(self.pages) <= number:
+            self.pages.append(Page(len(self.pages)))
+        self.pages[number].stamp = stamp
+        return self.pages[number]
+
+    def ended(self, claim: Claim, done: bool) -> None:
+        """A claim no longer binds. Once the task's end is on record, its old claim says nothing; until then the page
+        should be rewritten some time."""
+        page = claim.page
+        if page is not None:
+            page.drop_claim(claim)
+            if not done:
+                self.spoil(page)
+
+    def spoil(self, page: Page) -> None:
+        """Its record is out of date."""
+        page.dirty = True
+        self.dirty.add(page)
+
+    def over(self, job: Job) -> None:
+        """The job is over: what pages say of its tasks no longer matters."""
+        for page in self.pages:
+            page.drop_job(job)
+
+    def roomiest(self, taken: set[Page]) -> Page:
+        """The page that takes what is new: the one with the least live content, or a new one."""
+        free = [page for page in self.pages if page not in taken]
+        best = min(free, key=lambda page: (not page.dirty, page.size), default=None)
+        if best is not None and best.size > self.most / 2:
+            best = min(free, key=lambda page: page.size)
+        if best is None or best.size > self.most / 2:
+            best = Page(len(self.pages))
+            self.pages.append(best)
+        return best
+
+
+def encoded_size(page: Page) -> int:
+    """The bytes that the page's value takes on the wire."""
+    return len(encode(page.value()))
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -176,9 +176,7 @@
     def _settled(self, task: TaskId) -> bool:
         """Whether the task's end is on record, so that the worker may forget it."""
         job = self.desk.jobs.get(task[0])
-        if job is None or not 0 <= task[1] < job.spec.tasks:
-            return True
-        return job.block_of(task[1]).settled
+        return job is None or job.final is not None or task[1] not in job.unsettled
 
     def answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
         """An /orders call was answered. Only then is it known that no copy of it is under way."""
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -22,10 +22,9 @@
     JOB,
     TYPES,
     Malformed,
-    block_count,
-    block_key,
     block_size,
     impossible,
+    page_key,
     parse,
     parse_types,
     valid_uid,
@@ -168,14 +167,19 @@
         job = self.view.get(JOB + uid)
         if job is None:
             return None
-        done = running = 0
-        for number in range(block_count(job["spec"]["rungs"], job["block"])):
-            block = self.view.get(block_key(uid, number))
-            if block is not None:
-                done += sum(last - first + 1 for first, last in block["d"])
-                running += len(block["a"])
+        done = set[int]()
+        claimed = set[str]()
+        number = 0
+        while (page := self.view.get(page_key(number))) is not None:
+            number += 1
+            entry = page.get(uid)
+            if entry is not None:
+                for first, last in entry.get("d", ()):
+                    done.update(range(first, last + 1))
+                claimed.update(entry.get("a", ()))
+        running = sum(1 for index in claimed if int(index) not in done)
         phase = "running" if running else "queued"
-        return Reply(200, {"uid": uid, "phase": phase, "done": done, "running": running})
+        return Reply(200, {"uid": uid, "phase": phase, "done": len(done), "running": running})
 
     async def _poll(self, uid: str) -> Reply:
         if not valid_uid(uid):
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -1,4 +1,4 @@
-"""Jobs as the foreman holds them: blocks, claims and what of them is on record.
+"""Jobs as the foreman holds them: their tasks, and the claims on these.
 
 A claim is the safety of the whole program. It says that one task, as one attempt, may be on one machine. It is on
 record before the first order goes out, and it binds (no second claim, counted against team and placement) until
@@ -8,10 +8,13 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+from typing import TYPE_CHECKING
 
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
 
+if TYPE_CHECKING:
+    from ladderfield.foreman.pages import Page
+
 TaskId = tuple[str, int]
 Shape = tuple[str, float, float, float, bool, str | None, tuple[str, ...] | None]
 
@@ -31,6 +34,7 @@
         "index",
         "inherited",
         "job",
+        "page",
         "phase",
         "recorded",
         "running_at",
@@ -45,6 +49,7 @@
     def __init__(self, job: Job, index: int, attempt: int, host: str, zone: str) -> None:
         self.zone = zone
         self.job, self.index, self.attempt, self.host = job, index, attempt, host
+        self.page: Page | None = None  # the record that holds it
         self.recorded = False  # in the state service: only then may the launch go out
         self.inherited = False  # made by an earlier foreman, whose order may be out or not
         self.phase: str | None = None  # as last reported
@@ -62,39 +67,6 @@
         return (self.job.uid, self.index)
 
 
-class Block:
-    """A range of a job's tasks, claimed and recorded as one value."""
-
-    __slots__ = ("claims", "done", "job", "number", "stamp", "version", "written")
-
-    def __init__(self, job: Job, number: int) -> None:
-        self.job, self.number = job, number
-        self.stamp = 0  # the record's version; 0: not claimed yet
-        self.done: set[int] = set()
-        self.claims: dict[int, Claim] = {}
-        self.version = self.written = 0
-
-    @property
-    def settled(self) -> bool:
-        """Whether the record says all that is known here."""
-        return self.version == self.written
-
-    def touch(self) -> None:
-        """The record has to be written again."""
-        self.version += 1
-        self.job.dirty[self.number] = self
-
-    def span(self) -> range:
-        """The block's tasks."""
-        first = self.number * self.job.block
-        return range(first, min(first + self.job.block, self.job.spec.tasks))
-
-    def value(self) -> dict[str, Any]:
-        """The record: finished ranges (d) and claims (a: task -> attempt, machine, zone)."""
-        claims = {str(index): [claim.attempt, claim.host, claim.zone] for index, claim in self.claims.items()}
-        return {"d": ranges(self.done), "a": claims}
-
-
 class Job:
     """An accepted job that is not yet over, or whose claims still bind."""
 
@@ -102,13 +74,11 @@
         "_usual",
         "at",
         "block",
-        "blocks",
         "claims",
-        "dirty",
-        "done",
         "errors",
         "failed_hosts",
         "final",
+        "finished",
         "finished_s",
         "held",
         "next_block",
@@ -120,18 +90,18 @@
         "stamp",
         "uid",
         "undealt",
+        "unsettled",
         "zones",
     )
 
     def __init__(self, spec: JobSpec, at: float, block: int, stamp: int) -> None:
         self.spec, self.uid, self.at, self.block, self.stamp = spec, spec.uid, at, block, stamp
-        self.final: str | None = None  # "cancelled" once on record
-        self.blocks: dict[int, Block] = {}
-        self.dirty: dict[int, Block] = {}  # blocks whose record is behind
+        self.final: str | None = None  # once on record
         self.next_block = 0  # blocks are opened in order, as there is use for them
         self.undealt: list[int] = []  # tasks of opened blocks, in no machine's queue
         self.queued = 0  # tasks in machines' queues
-        self.done = 0
+        self.finished: set[int] = set()
+        self.unsettled: set[int] = set()  # finished, but not on record yet
         self.claims: dict[int, Claim] = {}
         self.zones: dict[str, int] = {}  # claims by zone, for placement
         self.errors = 0  # in a row, without a success between
@@ -150,6 +120,11 @@
         """How many blocks the job has."""
         return block_count(self.spec.tasks, self.block)
 
+    @property
+    def done(self) -> int:
+        """How many tasks are done."""
+        return len(self.finished)
+
     @property
     def complete(self) -> bool:
         """All tasks done."""
@@ -160,48 +135,25 @@
         """Tasks neither done nor claimed."""
         return self.spec.tasks - self.done - len(self.claims)
 
-    def block_of(self, index: int) -> Block:
-        """The block that holds a task, opened if it isn't yet."""
-        number = index // self.block
-        block = self.blocks.get(number)
-        if block is None:
-            block = self.blocks[number] = Block(self, number)
-        return block
-
     def open_next(self) -> bool:
         """Bring the next block's free tasks into play; False if there is none left."""
         if self.next_block >= self.block_total:
             return False
         first = self.next_block * self.block
-        block = self.block_of(first)
         self.next_block += 1
-        self.undealt += [n for n in block.span() if n not in block.done and n not in block.claims]
+        last = min(first + self.block, self.spec.tasks)
+        self.undealt += [n for n in range(first, last) if n not in self.finished and n not in self.claims]
         return True
 
-    def load(self, number: int, value: dict[str, Any], stamp: int) -> Block:
-        """Take a block over as an earlier foreman left it on record."""
-        block = self.block_of(number * self.block)
-        block.stamp = stamp
-        for first, last in value.get("d", []):
-            block.done.update(range(first, last + 1))
-        self.done += len(block.done)
-        for index, (attempt, host, zone) in value.get("a", {}).items():
-            claim = Claim(self, int(index), attempt, host, zone)
-            claim.recorded = claim.inherited = True
-            self.bind(claim)
-        return block
-
     def bind(self, claim: Claim) -> None:
         """A claim begins to count."""
-        self.block_of(claim.index).claims[claim.index] = self.claims[claim.index] = claim
+        self.claims[claim.index] = claim
         self.zones[claim.zone] = self.zones.get(claim.zone, 0) + 1
 
     def release(self, claim: Claim) -> None:
         """A claim's attempt is surely gone."""
-        block = self.block_of(claim.index)
-        del block.claims[claim.index], self.claims[claim.index]
+        del self.claims[claim.index]
         self.zones[claim.zone] -= 1
-        block.touch()
 
     def run_s(self, bias: float = 1.0) -> float:
         """Expected run time of a task: the middle of what was seen, else the owner's estimate, set right by how
