Machines that report but don't hear us, late copies, epochs nobody gave; order ends with the pass

Only a report with our epoch is a sign that a machine is well, so no copy from before a takeover is. A higher epoch counts only where somebody can have been elected.

--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -196,7 +196,9 @@
         plan = Plan(
             Room(machine)
             for machine in desk.machines.values()
-            if not (machine.deleting or machine.sick) and machine.recall_at is None and machine.kind.cpus
+            if not (machine.deleting or machine.sick or machine.deaf_since is not None)
+            and machine.recall_at is None
+            and machine.kind.cpus
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -31,6 +31,7 @@
 INBOX = 256
 COURIERS = 64  # pushes at once
 SLOW_SHARE = 0.5  # of them: for machines that may not answer
+ELECTION = 0.05  # of a foreman's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
 WRITES_LEAST = 0.25  # of a transaction's limit: what it may hold at least before the next one is begun
 TICK = 1 / 6  # of report_s
@@ -44,10 +45,10 @@
 class Reported:
     """A worker's report; ``done`` is set when it is answered or refused."""
 
-    __slots__ = ("answer", "done", "report")
+    __slots__ = ("answer", "done", "relayed", "report")
 
-    def __init__(self, report: Report) -> None:
-        self.report, self.done = report, trio.Event()
+    def __init__(self, report: Report, relayed: bool) -> None:
+        self.report, self.relayed, self.done = report, relayed, trio.Event()
         self.answer: dict[str, Any] | None = None
 
 
@@ -142,7 +143,12 @@
 
     async def run(self, announce: Any) -> None:
         """Take over, announce the inbox, and serve until the term is over."""
-        await self.view.reach(self.term.stamp)
+        while self.view.ledger < self.term.stamp:
+            # Without a view there is nothing to take over, but a term that is over must not hold up the next one.
+            if self.term.over.is_set():
+                return
+            with trio.move_on_after(self.term.ttl):
+                await self.view.reach(self.term.stamp)
         async with self.view.subscribe() as changes:
             self.desk.load(dict(self.view.data), trio.current_time())
             log.info(
@@ -235,11 +241,14 @@
                 self._to_push.discard(host)
                 continue
             silent = machine.heard_at is None or now - machine.heard_at > silence
+            silent = silent or machine.deaf_since is not None
             if host in self._pushing or (silent and slow >= COURIERS * SLOW_SHARE):
                 continue
             self._to_push.discard(host)
+            if machine.relayed and not silent:
+                continue  # another controller reaches it, we likely don't: its orders go with the answers
             orders = self.desk.sessions.orders(machine, now, None) if machine.epoch == self.term.epoch else []
-            if orders or machine.epoch != self.term.epoch:
+            if orders or machine.epoch != self.term.epoch or machine.deaf_since is not None:
                 slow += silent
                 self._pushing[host] = silent
                 self.nursery.start_soon(self._courier, machine, orders)
@@ -248,8 +257,9 @@
 
     def _on_report(self, message: Reported, now: float) -> None:
         report = message.report
-        if report.epoch > self.term.epoch:
-            self.term.end(f"machine {report.host} has seen epoch {report.epoch}")
+        if self._outranked(report, now):
+            message.done.set()
+            return
         alive = now < self.term.renewed_at + self.term.ttl + self.grace
         if self.term.over.is_set() or not alive:
             message.done.set()
@@ -257,10 +267,30 @@
         machine = self.desk.sessions.report(report, now, answering=True)
         orders: list[dict[str, Any]] = []
         if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
+            machine.relayed = message.relayed
             orders = self.desk.sessions.orders(machine, now, report.tick)
         message.answer = {"epoch": self.term.epoch, "orders": orders}
         message.done.set()
 
+    def _outranked(self, report: Report, now: float) -> bool:
+        """Whether the machine has seen a later foreman's epoch, so that nothing we say counts there; then we yield.
+
+        While our lease is surely ours nobody can have been elected after us, and no more often than a lease can have
+        changed hands since: an epoch beyond that no foreman gave. It harms that machine only, which has to go.
+        """
+        if report.epoch <= self.term.epoch:
+            return False
+        elections = max(0.0, now - self.term.renewed_at - self.term.ttl) / (self.term.ttl * ELECTION) + 1
+        if self.term.may_start(now) or report.epoch > self.term.epoch + elections:
+            machine = self.desk.machines.get(report.host)
+            if machine is not None and not machine.sick:
+                log.warning("machine %s: shows epoch %d, which nobody gave", report.host, report.epoch)
+                machine.sick = True
+                self.desk.queues.withdraw(machine)
+        else:
+            self.term.end(f"machine {report.host} has seen epoch {report.epoch}")
+        return True
+
     def _on_changed(self, message: Changed, now: float) -> None:
         for change in message.changes:
             if change.key == EPOCH and change.value and change.value["epoch"] > self.term.epoch:
@@ -281,10 +311,13 @@
     def _on_pushed(self, message: Pushed, now: float) -> None:
         self._pushing.pop(message.host, None)
         machine = self.desk.machines.get(message.host)
-        if machine is None or message.report is None or message.report.host != message.host:
+        if machine is None:
+            return
+        if message.report is None or message.report.host != message.host:
+            if machine.heard_at is not None and not machine.relayed:
+                self.desk.sessions.ignored(machine, 1, now)
             return
-        if message.report.epoch > self.term.epoch:
-            self.term.end(f"machine {message.host} has seen epoch {message.report.epoch}")
+        if self._outranked(message.report, now):
             return
         if message.report.tenure >= machine.tenure:
             self.desk.sessions.answered(machine, message.attempts, message.executed)
@@ -321,7 +354,9 @@
                 if host in self.desk.machines:
                     self.planner.freed(self.desk.machines[host])
                 self.desk.forget(host, now)
-                self._clients.pop(host, None)
+                client = self._clients.pop(host, None)
+                if client is not None:
+                    self.nursery.start_soon(client.drop)
 
     def _on_sole(self, message: Sole, now: float) -> None:
         self.desk.sole(now)
@@ -331,6 +366,8 @@
         for machine in self.desk.machines.values():
             if machine.claims and machine.epoch == self.term.epoch and self._restless(machine):
                 self._to_push.add(machine.host)
+            elif machine.deaf_since is not None:
+                self._to_push.add(machine.host)  # to learn when it hears again
         if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.report_s:
             self._planned_at = now
             try:
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -246,7 +246,7 @@
         free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
         # After a takeover everybody is late, as workers first have to find the new foreman.
         late = OVERDUE * self.report_s if now - self.term_from > SILENT * self.report_s else math.inf
-        prompt = {one for one in machines if one.heard_at is not None and now - one.heard_at <= late}
+        prompt = {one for one in machines if one.fresh_at is not None and now - one.fresh_at <= late}
         made = 0
         for tier in ready:
             asking = tier.candidates(one for one in free if tier.rank > 0 or one in prompt)
@@ -261,6 +261,7 @@
                 for job in sorted(tier.jobs, key=lambda one: one.uid):
                     if job.queued and now - job.at > OWED * self.report_s:
                         self.room.for_guarantee(job, machines, now)
+        self.queues.rest()
         if made:
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
@@ -339,8 +340,7 @@
         doomed = []
         cut = self._cut_zones(now)
         for machine in self.machines.values():
-            heard = machine.heard_at if machine.heard_at is not None else self.term_from
-            silent = now - heard
+            silent = machine.silent_for(now, self.term_from)
             if machine.claims and now > machine.lease_over_at(
                 self.epoch, self.term_from, self.others_until, self.lease_s
             ):
@@ -370,10 +370,10 @@
         known: dict[str, list[int]] = {}
         for machine in self.machines.values():
             if machine.heard_at is not None or machine.claims:
-                heard = machine.heard_at if machine.heard_at is not None else self.term_from
                 count = known.setdefault(machine.zone, [0, 0])
                 count[0] += 1
-                count[1] += now - heard > SILENT * self.report_s
+                silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
+                count[1] += silent or machine.deaf_since is not None
         return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
 
     def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
@@ -382,7 +382,9 @@
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut else 0.0)
         if booted and silent > patience:
-            return f"not heard for {silent:.1f} s"
+            return f"no sign that it is well for {silent:.1f} s"
+        if machine.deaf_since is not None and now - machine.deaf_since > patience:
+            return "it does not hear us"
         if not booted and now - machine.born_at > BOOT * machine.kind.boot_s:
             return "it never came up"
         if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 RESEND = 2.0  # of report_s: a stop that shows no effect, or a launch that isn't listed, goes out again
+DEAF = 2  # signs in a row that our words don't reach a machine: then we believe it
 WIND_DOWN = 2.0  # of markCostS: time allowed for saving, as machines differ in speed
 
 
@@ -46,37 +47,64 @@
         machine = self.machine(report.host, report.endpoint, report.type, report.zone, report.spot, now)
         if machine is None:
             return None
+        before, order = machine.heard_at, (report.tenure, report.tick)
+        answered = machine.answered
         if answering:
             machine.answered_at = now
-        if (report.tenure, report.tick) <= (machine.tenure, machine.tick) and machine.heard_at is not None:
+            machine.answered = max(order, answered or order)
+        if order <= (machine.tenure, machine.tick) and before is not None:
             return machine  # overtaken on its way: what it lists is no longer so
-        if machine.heard_at is None:
+        accepted = report.epoch == desk.epoch
+        if before is None:
             log.info("machine %s: %s in %s is up", machine.host, machine.kind.name, machine.zone)
-            desk.changed = True
-        elif now - machine.heard_at > desk.report_s:
+            machine.up_at = now
+        if accepted and (machine.fresh_at is None or now - machine.fresh_at > desk.report_s):
             desk.changed = True
         machine.heard_at = now
+        if accepted:
+            machine.fresh_at = now
         new_session = report.tenure > machine.tenure
         if new_session:
             machine.doubts.clear()  # orders of an earlier session are refused from now on
+            if before is not None and now - before < desk.lease_s / 2 and answered is not None:
+                # We heard it all the time and answered, and still its lease has run out.
+                self.ignored(machine, DEAF, now)
+        elif answered is not None and answered < order and not accepted:
+            self.ignored(machine, 1, now)  # it was answered, but has not taken our epoch
         machine.tenure, machine.tick, machine.epoch = report.tenure, report.tick, report.epoch
         machine.endpoint = report.endpoint
         if report.recall_s is not None and machine.recall_at is None:
             machine.recall_at = now + report.recall_s
             log.info("machine %s: taken back in %.1f s", machine.host, report.recall_s)
             desk.recalled(machine, now)
-        accepted = report.epoch == desk.epoch
         listed: dict[TaskId, Rung] = {rung.task(): rung for rung in report.rungs}
         machine.seen = {task: (rung.attempt, rung.phase) for task, rung in listed.items()}
+        lost = False
         for claim in list(machine.claims.values()):
             rung = listed.get(claim.task)
             if rung is not None and rung.attempt == claim.attempt:
                 self._listed(machine, claim, rung, now)
-            elif accepted and self._gone(machine, claim, report, answering):
-                log.info("task %s: attempt %d is not on %s", task_name(claim.task), claim.attempt, machine.host)
-                desk.end(claim, False, now)
+            elif accepted:
+                sent = claim.sent_tenure
+                if self._gone(machine, claim, report, answering):
+                    log.info("task %s: attempt %d is not on %s", task_name(claim.task), claim.attempt, machine.host)
+                    desk.end(claim, False, now)
+                lost = lost or (sent == report.tenure and claim.sent_tenure is None)
+        if lost:
+            self.ignored(machine, 1, now)
         return machine
 
+    def ignored(self, machine: Machine, signs: int, now: float) -> None:
+        """What we told the machine had no effect. Once may be chance; more often, our words don't reach it, however
+        well its reports reach us. It gets no work then, what can be ended there ends, and it is replaced unless it
+        hears again."""
+        machine.unheeded += signs
+        if machine.unheeded >= DEAF and machine.deaf_since is None:
+            machine.deaf_since = now
+            log.warning("machine %s: reports, but does not hear us", machine.host)
+            self.desk.queues.withdraw(machine)
+            self.desk.changed = True
+
     def _gone(self, machine: Machine, claim: Claim, report: Report, answering: bool) -> bool:
         """Whether a claim that the machine doesn't list is surely dead. The machine has accepted our epoch, so no
         earlier foreman's order can run any more; what is left are our own orders."""
@@ -90,10 +118,12 @@
         # drops late answers, so that answer is lost; nothing else can bring this attempt to life but a new launch.
         claim.sent_tenure = None
         claim.inherited = False
-        return claim.stopping is not None
+        return claim.stopping is not None or machine.deaf_since is not None
 
     def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
         desk, job = self.desk, claim.job
+        if (claim.phase is None and not claim.inherited) or (claim.stopping and rung.phase in ("flushing", "exited")):
+            machine.heeds()  # a launch or a stop of ours shows
         claim.sent_tenure = machine.tenure
         claim.inherited = False
         if rung.phase != "exited":
@@ -133,6 +163,8 @@
             if claim.stopping is not None:
                 if on_it and phase != "exited" and now - claim.stop_at > resend:
                     again = claim.stop_at > -math.inf
+                    if again and phase != "flushing":
+                        self.ignored(machine, 1, now)
                     claim.stop_at = now
                     result.append(self._stop(claim.task, claim.attempt, 0.0 if again else self._wind_down(claim)))
                 continue
@@ -180,6 +212,8 @@
 
     def answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
         """An /orders call was answered. Only then is it known that no copy of it is under way."""
+        if executed:
+            machine.heeds()
         for attempt in attempts:
             left = machine.doubts.pop(attempt, 0) - 1
             if left > 0:
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -59,6 +59,11 @@
         """A pass begins: these may pull and be helped."""
         self._machines, self._order = machines, None
 
+    def rest(self) -> None:
+        """The pass is over: what machines have finished may change from now on."""
+        self._order = None
+        self._ranked, self._machines = {}, []
+
     def helpers(self, straggler: str) -> int:
         """How many machines run tasks taken from this one's queue."""
         return len(self._helping.get(straggler, ()))
--- a/ladderfield/queues/test_queues.py
+++ b/ladderfield/queues/test_queues.py
@@ -99,6 +99,12 @@
         pulled = queues.pull(helper, {dealt for dealt in jobs if dealt.queued})
         assert pulled is not None and pulled[2] == expected
         queues.helped(pulled[2], helper.host, 1)
+    queues.rest()
+    for one in machines:
+        one.finished += 1
+    for straggler, helpers in list(queues._helping.items()):
+        for helper_host in list(helpers):
+            queues.helped(straggler, helper_host, -1)  # between passes nothing is kept in order
 
 
 def test_placement_follows_zone_kind_and_the_jobs_other_claims() -> None:
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -5,7 +5,7 @@
 import logging
 import math
 from collections import OrderedDict
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
 
@@ -22,6 +22,7 @@
 ANSWER_BY = 0.6  # of that is ours
 RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the foreman itself again
 REMEMBERED = 4096  # workers
+T = TypeVar("T")
 
 
 class ReportDesk:
@@ -34,6 +35,7 @@
         self._once: OrderedDict[str, float] = OrderedDict()  # worker -> when it was relayed on suspicion
         self._sent_away: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the foreman
         self._carried: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
+        self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # worker -> tenure and tick
         self._warned = False
 
     async def __call__(self, request: Request) -> Reply | None:
@@ -50,12 +52,12 @@
                 log.warning("a malformed report was refused: %s", error)
             return Reply(400, {"error": str(error)})
         if self.inbox is not None:
-            return await self._ask_foreman(report)
+            return await self._ask_foreman(report, False)
         foreman = self.leadership.known_foreman()
         link = self.links.get(foreman or "")
         if link is None:
             return Reply(421, {})
-        if not self._cut_off(report, link, trio.current_time()):
+        if self._copy(report) or not self._cut_off(report, link, trio.current_time()):
             return Reply(421, {"foreman": foreman})
         answer = await self._relay(link, request.body, 0)
         if answer is None or answer[0] != 200:
@@ -64,6 +66,15 @@
         reply.body = answer[1]
         return reply
 
+    def _copy(self, report: Report) -> bool:
+        """Whether the report is no newer than one that came here before: a late copy, which tells nothing about whom
+        the worker can reach now."""
+        order = (report.tenure, report.tick)
+        if order <= self._newest.get(report.host, (-1, -1)):
+            return True
+        self._note(self._newest, report.host, order)
+        return False
+
     def _cut_off(self, report: Report, link: PeerLink, now: float) -> bool:
         """Whether the worker likely can't reach the foreman, so that its report is relayed.
 
@@ -101,7 +112,7 @@
         except ValueError:
             return 400, b"{}"
         if self.inbox is not None:
-            reply = await self._ask_foreman(report)
+            reply = await self._ask_foreman(report, True)
             return reply.status, reply.body
         link = self.links.get(self.leadership.known_foreman() or "")
         if link is not None and hops == 1:
@@ -118,8 +129,8 @@
             return False
         return True
 
-    async def _ask_foreman(self, report: Report) -> Reply:
-        message = Reported(report)
+    async def _ask_foreman(self, report: Report, relayed: bool) -> Reply:
+        message = Reported(report, relayed)
         if not self.tell_foreman(message):
             return Reply(503, {})
         with trio.move_on_after(WORKER_S * ANSWER_BY):
@@ -130,8 +141,8 @@
         return Reply(503, {})
 
     @staticmethod
-    def _note(table: OrderedDict[str, float], host: str, now: float) -> None:
-        table[host] = now
+    def _note(table: OrderedDict[str, T], host: str, value: T) -> None:
+        table[host] = value
         table.move_to_end(host)
         if len(table) > REMEMBERED:
             table.popitem(last=False)
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -17,17 +17,20 @@
     """A rented machine, from its first sighting until it is surely gone."""
 
     __slots__ = (
+        "answered",
         "answered_at",
         "blamed",
         "born_at",
         "cached",
         "claims",
         "cpus",
+        "deaf_since",
         "deleting",
         "doubts",
         "endpoint",
         "epoch",
         "finished",
+        "fresh_at",
         "gpus",
         "heard_at",
         "hold_rank",
@@ -39,6 +42,7 @@
         "memory_gb",
         "queue",
         "recall_at",
+        "relayed",
         "replicas",
         "replicas_low",
         "seen",
@@ -47,6 +51,8 @@
         "spot",
         "tenure",
         "tick",
+        "unheeded",
+        "up_at",
         "zone",
     )
 
@@ -54,7 +60,13 @@
         self.host, self.endpoint, self.kind, self.zone, self.spot = host, endpoint, kind, zone, spot
         self.born_at = now
         self.heard_at: float | None = None  # last report taken in, in this term
+        self.up_at: float | None = None  # first report taken in, in this term
+        self.fresh_at: float | None = None  # last report that shows our epoch: no copy from before this term can
         self.answered_at: float | None = None  # last report answered, in this term
+        self.answered: tuple[int, int] | None = None  # tenure and tick of the newest of these
+        self.unheeded = 0  # signs in a row that what we tell it does not arrive
+        self.deaf_since: float | None = None  # since these were enough to believe it
+        self.relayed = False  # its last report came by way of another controller
         self.tenure = self.tick = self.epoch = 0
         self.recall_at: float | None = None
         self.claims: dict[TaskId, Claim] = {}
@@ -136,14 +148,30 @@
             del self.cached[next(iter(self.cached))]
 
     def usable(self, now: float, silence_s: float) -> bool:
-        """Whether new work may be given to it."""
+        """Whether new work may be given to it.
+
+        Only a machine that has shown our epoch: a late copy of a report, which may be all that is left of a machine,
+        looks like a sign of life otherwise, and one that our answers don't reach would take work it never starts.
+        """
         return (
-            self.heard_at is not None
-            and now - self.heard_at <= silence_s
+            self.fresh_at is not None
+            and now - self.fresh_at <= silence_s
             and self.recall_at is None
+            and self.deaf_since is None
             and not (self.deleting or self.sick)
         )
 
+    def silent_for(self, now: float, term_from: float) -> float:
+        """How long it has shown no sign of being well: of having taken our epoch."""
+        since = self.fresh_at
+        if since is None:
+            since = term_from if self.up_at is None else self.up_at
+        return now - since
+
+    def heeds(self) -> None:
+        """Something that we told it has arrived."""
+        self.unheeded, self.deaf_since = 0, None
+
     def lease_over_at(self, epoch: int, term_from: float, others_until: float, lease_s: float) -> float:
         """When its lease is surely over.
 
--- a/ladderfield/workers/report.py
+++ b/ladderfield/workers/report.py
@@ -8,6 +8,7 @@
 
 from ladderfield.queues.work import TaskId
 
+EPOCH_MOST = 2**32  # an attempt is made of the epoch and a counter, and fits 64 bits
 Token = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -50,8 +51,8 @@
         report = decoder.decode(body)
         for rung in report.rungs:
             rung.task()
-        if max(report.tenure, report.tick, report.epoch) >= 2**64:
-            raise ValueError("a count is over 64 bits")
+        if max(report.tenure, report.tick) >= 2**64 or report.epoch >= EPOCH_MOST:
+            raise ValueError("a count is too large")
     except (msgspec.DecodeError, RecursionError) as error:
         raise ValueError(str(error)) from None
     return report
