Room by age for what waits long; watches that hang, actors that fail, controllers cut off; tests

A quarter of all cpus goes by age to arrays that have waited for half of the four minutes in which the largest have to begin, whatever their rank. A watch that lags behind what is known to exist is opened again within a poll's time. An actor that fails is begun again. A controller that reaches neither the state service nor any other is not ready. A silent machine is asked over /orders before it is given up, and given longer after a takeover: with controllers that don't answer, its way to the new foreman took longer than three reports (found by the new test of a cut-off follower).

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -16,7 +16,7 @@
 
 from ladderfield.fleet.cloud import DELETE_MOST, RENT_MOST, Cloud, CloudTrouble, Listed, NoCapacity
 from ladderfield.fleet.plan import Offer, Planner, Rental
-from ladderfield.foreman.desk import SILENT, Desk
+from ladderfield.foreman.desk import OVERDUE, Desk
 from ladderfield.foreman.ledger import Ledger, Txn
 from ladderfield.http import Client, NoAnswer
 from ladderfield.jobs.model import TYPES, parse_types
@@ -231,7 +231,6 @@
 
     def _push(self, now: float) -> None:
         """Send couriers out. Machines that were not heard lately may let theirs wait long; these get only a part."""
-        silence = SILENT * self.report_s
         slow = sum(1 for silent in self._pushing.values() if silent)
         for host in list(self._to_push):
             if len(self._pushing) >= COURIERS:
@@ -240,15 +239,14 @@
             if machine is None or not machine.endpoint:
                 self._to_push.discard(host)
                 continue
-            silent = machine.heard_at is None or now - machine.heard_at > silence
-            silent = silent or machine.deaf_since is not None
+            silent = self._doubtful(machine, now)
             if host in self._pushing or (silent and slow >= COURIERS * SLOW_SHARE):
                 continue
             self._to_push.discard(host)
             if machine.relayed and not silent:
                 continue  # another controller reaches it, we likely don't: its orders go with the answers
             orders = self.desk.sessions.orders(machine, now, None) if machine.epoch == self.term.epoch else []
-            if orders or machine.epoch != self.term.epoch or machine.deaf_since is not None:
+            if orders or silent or machine.epoch != self.term.epoch:
                 slow += silent
                 self._pushing[host] = silent
                 self.nursery.start_soon(self._courier, machine, orders)
@@ -366,8 +364,8 @@
         for machine in self.desk.machines.values():
             if machine.claims and machine.epoch == self.term.epoch and self._restless(machine):
                 self._to_push.add(machine.host)
-            elif machine.deaf_since is not None:
-                self._to_push.add(machine.host)  # to learn when it hears again
+            elif machine.up_at is not None and self._doubtful(machine, now):
+                self._to_push.add(machine.host)  # to learn whether it hears us, and is only looking for us
         if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.report_s:
             self._planned_at = now
             try:
@@ -392,6 +390,10 @@
                 self._rent(rental)
         return [machine.host for machine in returned]
 
+    def _doubtful(self, machine: Machine, now: float) -> bool:
+        """Whether it is overdue or does not seem to hear us."""
+        return machine.deaf_since is not None or machine.silent_for(now, self.desk.term_from) > OVERDUE * self.report_s
+
     @staticmethod
     def _restless(machine: Machine) -> bool:
         """Whether a stop has not been told yet."""
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -18,7 +18,7 @@
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
-from ladderfield.queues.pick import Queues, Tier, tiers
+from ladderfield.queues.pick import Queues, Share, Tier, tiers
 from ladderfield.queues.work import Claim, Job, Shape, TaskId, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
@@ -37,6 +37,7 @@
 PAUSE_MOST = 10.0  # of report_s
 BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
 OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
+OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
 
@@ -238,6 +239,7 @@
         ready = tiers(self.jobs.values(), self.teams, lambda job: self.outlook.rating(job, now), now)
         if not ready:
             return 0
+        ready = self._old_first(ready, machines, now)
         self.queues.begin(machines)
         self.room.begin(now)
         free = [machine for machine in machines if machine.cpus > 0]
@@ -266,6 +268,21 @@
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
 
+    def _old_first(self, ready: list[Tier], machines: list[Machine], now: float) -> list[Tier]:
+        """Least work first would let large jobs wait for ever while small ones keep coming, and rank the low ranks.
+        So a part of the room goes by age: to what has waited for long, whatever it is, after production replicas."""
+        old = [job for job in self.jobs.values() if job.final is None and self.outlook.old(job, now)]
+        held = sum(len(job.claims) * job.spec.cpus for job in old)
+        share = Share(OLD_SHARE * sum(machine.kind.cpus for machine in machines) - held)
+        waiting = {job for tier in ready for job in tier.jobs}.intersection(old)
+        if not waiting or share.cpus <= 0:
+            return ready
+        by_age: dict[int, set[Job]] = {}
+        for job in waiting:
+            by_age.setdefault(self.outlook.age(job), set()).add(job)
+        first = next((n for n, tier in enumerate(ready) if tier.rank > 0), len(ready))
+        return [*ready[:first], *(Tier(False, by_age[age], share) for age in sorted(by_age)), *ready[first:]]
+
     def _deal(self, machines: list[Machine]) -> None:
         fit: dict[Shape, list[Machine]] = {}
         for job in self.jobs.values():
@@ -280,6 +297,8 @@
     def _fill(self, machine: Machine, tier: Tier, score: int, now: float) -> int:
         def allowed(spec: JobSpec) -> bool:
             # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
+            if tier.share is not None and tier.share.cpus < spec.cpus:
+                return False
             return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
 
         def may_go(job: Job) -> bool:
@@ -293,6 +312,8 @@
                 log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
                 continue
             self.claim(job, index, machine, owner, now)
+            if tier.share is not None:
+                tier.share.cpus -= job.spec.cpus
             made += 1
         return made
 
@@ -380,7 +401,9 @@
         if machine.listed == "failed":
             return "it failed"
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut else 0.0)
+        # After a takeover a machine may still be on its way between controllers, some of which don't answer.
+        finding = machine.fresh_at is None
+        patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.deaf_since is not None and now - machine.deaf_since > patience:
--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -9,6 +9,8 @@
 from ladderfield.queues.work import Job
 from ladderfield.settings import Settings
 
+BEGIN_S = 240.0  # the protocol: the largest jobs, too, begin within four minutes
+OLD = 0.5  # of that: then a job is served by age
 STEP = 8.0  # of report_s: late jobs that came closer together than this are equal
 MEMORY = 60.0  # of report_s: how far back arrivals count
 Stream = tuple[str, str]  # class and image: what a warm machine has to match
@@ -74,9 +76,17 @@
         if job.spec.service:
             return False, 0
         if self.due(job, now) is None:
-            return True, int(job.at / (STEP * self.report_s))
+            return True, self.age(job)
         return False, int(math.log2(max(1.0, job.waiting * job.spec.cpus * self.run_s(job))))
 
+    def old(self, job: Job, now: float) -> bool:
+        """Whether an array has waited for so long that it is owed some of the room whatever else there is to do."""
+        return not job.spec.service and now - job.at > OLD * BEGIN_S
+
+    def age(self, job: Job) -> int:
+        """When it came, in steps."""
+        return int(job.at / (STEP * self.report_s))
+
     def slack(self, job: Job, now: float) -> float:
         """How long the job's tasks may wait."""
         due = self.due(job, now)
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -74,12 +74,15 @@
         return None
 
     def _alone(self) -> bool:
-        """Whether the state service turns us away while it serves another controller: users should go there.
+        """Whether users should go elsewhere: the state service turns us away while it serves another controller, or
+        we reach neither it nor any other.
 
         In an outage for all, staying ready costs nothing, whereas each removal makes the load balancer pause longer
         before it comes back. A controller that has just started and has no view yet is in the same place.
         """
-        return not self.state_ok and any(link.state_ok for link in self.links.values())
+        links = self.links.values()
+        cut_off = bool(links) and not any(link.reachable for link in links)
+        return not self.state_ok and (cut_off or any(link.state_ok for link in links))
 
     async def _bounded(self, stage: Any, argument: Any) -> Reply:
         if self.busy >= self.room:
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -150,13 +150,22 @@
         return job, index, owner.host
 
 
+class Share:
+    """The cpus that may go to some jobs ahead of their turn."""
+
+    __slots__ = ("cpus",)
+
+    def __init__(self, cpus: float) -> None:
+        self.cpus = cpus
+
+
 class Tier:
     """Jobs of equal standing, grouped by what decides where their tasks fit, so that a machine is asked once for
     all jobs of one kind."""
 
-    def __init__(self, owed: bool, jobs: set[Job]) -> None:
-        self.owed, self.jobs = owed, jobs
-        self.rank = next(iter(jobs)).order[0]
+    def __init__(self, owed: bool, jobs: set[Job], share: Share | None = None) -> None:
+        self.owed, self.jobs, self.share = owed, jobs, share
+        self.rank = max(job.order[0] for job in jobs)
         self.groups: dict[Shape, dict[str, list[Job]]] = {}  # shape -> image -> jobs
         for job in jobs:
             self.groups.setdefault(job.shape, {}).setdefault(job.spec.image, []).append(job)
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -74,8 +75,12 @@
     async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
         """Be foreman whenever this controller is elected."""
         async for term in terms:
-            foreman = Foreman(self.settings, term, self.client, self.view, self.cloud)
-            await foreman.run(self._announce)
+            try:
+                await Foreman(self.settings, term, self.client, self.view, self.cloud).run(self._announce)
+            except Exception:
+                log.exception("epoch %d: the foreman failed", term.epoch)
+                self._announce(None)
+                term.end("of an error")
 
     def _announce(self, inbox: trio.MemorySendChannel | None) -> None:
         self.reports.inbox = inbox
@@ -99,12 +104,25 @@
         """Everything but the listeners."""
         send, receive = trio.open_memory_channel[Term](1)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.view.run)
-            nursery.start_soon(self.view.run_reads)
-            nursery.start_soon(self.leadership.run, send)
-            nursery.start_soon(self.run_terms, receive)
-            nursery.start_soon(self.run_types)
-            nursery.start_soon(self.run_health)
+            for actor in (
+                self.view.run,
+                self.view.run_reads,
+                partial(self.leadership.run, send),
+                partial(self.run_terms, receive),
+                self.run_types,
+                self.run_health,
+            ):
+                nursery.start_soon(self._keep, actor)
+
+    async def _keep(self, actor: Callable[[], Awaitable[None]]) -> None:
+        """Run an actor for ever. A mistake in one is told and costs a pause, not the process, nor (worse) the actor:
+        a controller that looks well but no longer follows the state service would never answer again."""
+        while True:
+            try:
+                await actor()
+            except Exception:
+                log.exception("an actor failed and is begun again")
+            await trio.sleep(self.settings.cluster.workers.report_s / 4)
 
 
 async def _listen(text: str, serve: Callable[[trio.abc.Stream], Awaitable[None]], most: int) -> None:
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 PREFIX = "lf/"
+HANG = 1 / 8  # of report_s: so long a watch may lag behind what is known to exist before it is opened again
 NOWHERE = "lf-none/"  # no key ever has this prefix: listing it returns the ledger and nothing else
 
 
@@ -209,6 +210,8 @@
         self._patience = settings.cluster.workers.report_s / 2
         self._moved = trio.Event()
         self._restart: trio.CancelScope | None = None
+        self._watch_at = -math.inf
+        self._hang = HANG * settings.cluster.workers.report_s
         self._subscribers: list[trio.MemorySendChannel[list[Change]]] = []
         self._wanted = trio.Event()
         self._reading: _Read | None = None
@@ -270,7 +273,7 @@
         """One watch; False when the view has to be read anew."""
         try:
             with trio.CancelScope() as scope:
-                self._restart = scope
+                self._restart, self._watch_at = scope, trio.current_time()
                 answer = await self.client.watch(self.ledger, self._patience * 10)
         except Unavailable as error:
             log.debug("watch: %s", error)
@@ -294,6 +297,8 @@
         return True
 
     async def _reached(self, ledger: int, changes: list[Change]) -> None:
+        if ledger > self.ledger:
+            self._hang = HANG * 2 * self._patience
         self.ledger = ledger
         self._moved.set()
         self._moved = trio.Event()
@@ -305,13 +310,22 @@
                     continue
 
     async def reach(self, ledger: int) -> None:
-        """Wait until the view holds everything up to a revision."""
+        """Wait until the view holds everything up to a revision.
+
+        A watch's connection may be dead without an error, or held up while all else goes through. So a watch that
+        has not brought what is known to exist is opened again, well within the time that a poll waits; if that
+        does not help either, the service is slow, and the next one is given longer.
+        """
         while self.ledger < ledger:
-            with trio.move_on_after(self._patience):
+            with trio.move_on_after(self._hang):
                 while self.ledger < ledger:
                     await self._moved.wait()
-            if self.ledger < ledger and self._restart is not None:
-                self._restart.cancel()  # the watch's connection may be dead without an error
+            if self.ledger < ledger and self._restart is not None and self._watched_for() >= self._hang:
+                self._hang = min(self._hang * 2, self._patience * 2)
+                self._restart.cancel()
+
+    def _watched_for(self) -> float:
+        return trio.current_time() - self._watch_at
 
     async def fresh(self, timeout: float) -> bool:
         """Wait until the view surely holds all that was true when this was called; False if that can't be shown.
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -15,8 +15,8 @@
 import pytest
 import trio
 
-from ladderfield.http import Client, Server
-from ladderfield.peers import BackServer
+from ladderfield.http import Client, NoAnswer, Server
+from ladderfield.peers import BackServer, PeerLink
 from ladderfield.server import Controller
 from ladderfield.testing import CloudService, Net, StateService, Worker, job, settings
 
@@ -446,3 +446,202 @@
         assert await whole.phase(1, uid) == "queued"
         whole.cloud.down = False
         await whole.until(1, uid, "done", 60)
+
+
+async def test_a_machine_whose_reports_come_but_which_hears_nothing_is_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1, cores=4.0)
+        worker = await whole.busy(uid)
+        other = await whole.submit(uid="req-000002", rungs=20)
+        deaf = await whole.busy(other)
+        worker.deaf = deaf.deaf = True
+        await whole.until(0, other, "done", 90)
+        await trio.sleep(20)
+        assert whole.on()[f"{uid}/0"] == 1 and worker.dead and deaf.dead, "both are replaced"
+
+
+async def test_a_cancellation_does_not_wait_for_a_machine_that_hears_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1)
+        worker = await whole.busy(uid)
+        worker.deaf = True
+        await whole.call(0, "POST", f"/api/jobs/{uid}/cancel")
+        await trio.sleep(29)
+        assert not whole.on()
+
+
+async def test_a_machine_that_hears_again_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1, cores=4.0)
+        worker = await whole.busy(uid)
+        worker.deaf = True
+        await trio.sleep(5)
+        worker.deaf = False
+        await trio.sleep(30)
+        assert not worker.dead and len(whole.starts(uid)) == 1, "no replica stops for a moment's deafness"
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_late_copies_of_reports_bring_nothing_back(monkeypatch: pytest.MonkeyPatch, takeover: bool) -> None:
+    """Copies of all that two machines said come for a while, one machine dead, one well, at every controller."""
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=2, cores=4.0)
+        dead = await whole.busy(uid)
+        await trio.sleep(10)
+        copies = [body for worker in whole.cloud.workers.values() for body in worker.sent]
+        dead.dead = True
+        dead.rungs.clear()
+        if takeover:
+            whole.crash(whole.foreman())
+
+        async def send(node: int, body: dict[str, Any]) -> None:
+            with trio.move_on_after(4):
+                await whole.call(node, "POST", "/v1/report", body)
+
+        begin = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < begin + 25:
+                for body in copies:
+                    for node in list(whole.controllers):
+                        nursery.start_soon(send, node, body)
+                    await trio.sleep(0.2)
+        epochs = {one.leadership.known_epoch() for one in whole.controllers.values()}
+        assert epochs == {2 if takeover else 1}, "no foreman was deposed"
+        await trio.sleep(10)
+        assert sum(whole.on().values()) == 2 and len(whole.starts(uid)) == 3, "only the lost replica started again"
+
+
+async def isolate(whole: Cluster, number: int) -> None:
+    """A controller loses the state service and the other controllers, but not its workers."""
+
+    async def silence(*_: Any, **__: Any) -> tuple[int, bytes]:
+        await trio.sleep(1.0)
+        raise NoAnswer("cut off")
+
+    alone = whole.controllers[number]
+    for client in (alone.client._client, alone.client._watcher):
+        client.call = silence  # type: ignore[method-assign]
+    for link in alone.links.values():
+        link.ask = silent_peer(link)  # type: ignore[method-assign]
+    for other, one in whole.controllers.items():
+        if other != number:
+            link = one.links[f"n{number}"]
+            link.ask = silent_peer(link)  # type: ignore[method-assign]
+
+
+def silent_peer(link: PeerLink) -> Any:
+    """Stands for ``PeerLink.ask`` where no answer comes."""
+
+    async def ask(kind: int, body: bytes, timeout: float, status: int = 0) -> None:
+        await trio.sleep(timeout)
+        link.reachable = False
+
+    return ask
+
+
+async def test_a_foreman_with_nobody_but_its_workers_makes_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=3)
+        await whole.busy(uid)
+        await trio.sleep(3)
+        first = whole.foreman()
+        await isolate(whole, first)
+        status, _ = 200, None
+        for _ in range(12):
+            await trio.sleep(1)
+            status, _ = await whole.call(first, "GET", "/ready")
+        assert status == 503, "users are sent elsewhere"
+        assert whole.foreman() != first
+        other = whole.foreman()
+        later = await whole.submit(other, uid="req-000002", rungs=4)
+        await whole.until(other, later, "done", 40)
+        assert len(whole.starts(uid)) == 3, "no replica was disturbed"
+
+
+async def test_a_follower_with_nobody_but_its_workers_loses_none_of_them(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=3)
+        await whole.busy(uid)
+        first = whole.foreman()
+        await isolate(whole, next(n for n in whole.controllers if n != first))
+        whole.crash(first)
+        await trio.sleep(0.2)
+        whole.start(first)
+        await trio.sleep(40)
+        assert len(whole.starts(uid)) == 3 and sum(whole.on().values()) == 3
+
+
+async def test_back_within_a_moment_amid_an_election_and_unanswered_writes(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(rungs=12)
+        steady = await whole.submit(uid="req-000002", shape="daemon", rungs=2)
+        await whole.busy(uid)
+        for pause in (0.05, 0.3, 1.1, 2.05):
+            whole.state.lose_answers = 2
+            for number in list(whole.controllers):
+                whole.crash(number)
+                await trio.sleep(0.05)
+                whole.start(number)
+            await trio.sleep(pause)
+        await trio.sleep(5)
+        await whole.until(1, uid, "done", 90)
+        assert [await whole.phase(node, steady) for node in range(3)] == ["running"] * 3
+        assert len({name for _, name, _ in whole.starts(uid)}) == 12
+
+
+@pytest.mark.parametrize("trouble", ["hanging watch", "hanging calls", "an actor fails"])
+async def test_after_a_trouble_every_controller_tells_of_every_job(
+    monkeypatch: pytest.MonkeyPatch, trouble: str
+) -> None:
+    """Rule ``forgotten``: every question about an accepted job is answered again soon, whoever is asked."""
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=1)
+        await whole.busy(uid)
+        one = whole.controllers[1]
+        calls = {"hanging watch": one.client._watcher, "hanging calls": one.client._client}
+        if trouble in calls:
+            client = calls[trouble]
+            real, until = client.call, trio.current_time() + 30
+
+            async def call(method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
+                if trio.current_time() < until:
+                    await trio.sleep(timeout)
+                    raise NoAnswer("half open")
+                return await real(method, target, body, timeout)
+
+            client.call = call  # type: ignore[method-assign]
+            await trio.sleep(30)
+        else:
+
+            async def wrong(*_: Any) -> None:
+                raise RuntimeError("a mistake")
+
+            monkeypatch.setattr(one.view, "_reached", wrong)
+            await trio.sleep(5)
+            monkeypatch.undo()
+            monkeypatch.setattr("ladderfield.http.connect", whole.net.connect)
+            monkeypatch.setattr("ladderfield.peers.connect", whole.net.connect)
+        later = await whole.submit(0, uid="req-000002", rungs=1)
+        await whole.until(1, uid, "running", 15)
+        await whole.until(1, later, "done", 60)
+
+
+async def test_a_watch_that_hangs_does_not_cost_a_poll(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A half-open connection brings nothing and no error: the poll that needs the view has it opened again."""
+    async with cluster(monkeypatch) as whole:
+        one = whole.controllers[1]
+        real, hung = one.client._watcher.call, [0]
+
+        async def call(method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
+            hung[0] += 1
+            if hung[0] == 1:
+                await trio.sleep(timeout)
+                raise NoAnswer("half open")
+            return await real(method, target, body, timeout)
+
+        one.client._watcher.call = call  # type: ignore[method-assign]
+        await whole.submit(0, uid="req-000001", shape="daemon", rungs=1)  # ends the watch that is open now
+        uid = await whole.submit(0, uid="req-000002", shape="daemon", rungs=1)
+        assert await whole.phase(1, uid) in ("queued", "running")
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -222,6 +222,8 @@
         self.log: list[tuple[float, str, int]] = []
         self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
+        self.deaf = False  # its reports go out, but no answer and no command comes in
+        self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
         self.dead = False
 
     def body(self) -> dict[str, Any]:
@@ -266,7 +268,7 @@
 
     async def __call__(self, request: Request) -> Reply:
         """/orders and /show."""
-        if self.dead or self.address in self.net.cut:
+        if self.dead or self.deaf or self.address in self.net.cut:
             await trio.sleep_forever()
         if request.path == "/orders":
             body = msgspec.json.decode(request.body)
@@ -293,11 +295,15 @@
             host, _, port = self.controllers[node].partition(":")
             sent, tenure = trio.current_time(), self.tenure
             client = Client(host, int(port), keep=0)
+            self.sent.append(self.body())
             try:
-                status, data = await client.call("POST", "/v1/report", self.body(), 4.0)
+                status, data = await client.call("POST", "/v1/report", self.sent[-1], 4.0)
                 answer = msgspec.json.decode(data)
             except Exception:
                 status, answer = 0, {}
+            if self.deaf:
+                status = 0
+                await trio.sleep_until(sent + 4.0)
             if status == 200 and tenure == self.tenure and self.obey(answer.get("epoch"), answer.get("orders", [])):
                 answered = sent
             elif status == 421 and answer.get("foreman"):
