--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -92,6 +92,9 @@
                 lost = lost or (sent == report.tenure and claim.sent_tenure is None)
         if lost:
             self.ignored(machine, 1, now)
+        if machine.deaf_since is not None:
+            for claim in [one for one in machine.claims.values() if one.sent_tenure is None and not one.inherited]:
+                desk.end(claim, False, now)
         return machine
 
     def ignored(self, machine: Machine, signs: int, now: float) -> None:
@@ -118,7 +121,7 @@
         # drops late answers, so that answer is lost; nothing else can bring this attempt to life but a new launch.
         claim.sent_tenure = None
         claim.inherited = False
-        return claim.stopping is not None or machine.deaf_since is not None
+        return claim.stopping is not None
 
     def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
         desk, job = self.desk, claim.job
--- /dev/null
+++ b/ladderfield/foreman/test_size.py
@@ -0,0 +1,78 @@
+"""Hundreds of machines: a pass costs what changed, not what there is. Counted, not timed."""
+
+from __future__ import annotations
+
+import pytest
+
+from ladderfield.foreman.test_desk import Stage
+from ladderfield.queues.pick import Queues
+from ladderfield.workers.machine import Machine
+
+MACHINES = 400
+
+
+def crowd(monkeypatch: pytest.MonkeyPatch, jobs: int) -> tuple[Stage, dict[str, int]]:
+    """All machines full, thousands of tasks queued; and what a pass looks at."""
+    stage = Stage()
+    for number in range(jobs):
+        stage.submit(f"req-{number:06}", owner="blue", rungs=100, bundle=f"img-{number % 10}", cores=2.0)
+    for host in range(MACHINES):
+        stage.report(f"m{host:03}")
+    while stage.desk.changed:
+        stage.desk.schedule(1.5)
+    stage.record()
+    looked = {"room": 0, "queues": 0}
+    has_room, pick = Machine.has_room, Queues._pick
+
+    def counted_room(self: Machine, spec: object) -> bool:
+        looked["room"] += 1
+        return has_room(self, spec)  # type: ignore[arg-type]
+
+    def counted_pick(*arguments: object) -> object:
+        looked["queues"] += 1
+        return pick(*arguments)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(Machine, "has_room", counted_room)
+    monkeypatch.setattr(Queues, "_pick", staticmethod(counted_pick))
+    return stage, looked
+
+
+def test_a_pass_looks_at_the_machines_that_became_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage, looked = crowd(monkeypatch, 40)
+    free = [stage.machine(f"m{number:03}") for number in range(5)]
+    for machine in free:
+        for claim in list(machine.claims.values()):
+            stage.desk.end(claim, True, 2.0)
+    assert stage.desk.schedule(2.0) == 10
+    assert looked["queues"] < 100 and looked["room"] < 1000, looked
+
+
+def test_a_pass_with_nothing_free_looks_at_no_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage, looked = crowd(monkeypatch, 40)
+    stage.desk.schedule(2.0)
+    assert looked == {"room": 0, "queues": 0}
+
+
+def test_large_jobs_begin_and_go_on_while_small_ones_keep_coming() -> None:
+    """Least work first alone would let a large job wait for ever, and rank a low one: part of the room goes by age."""
+    stage = Stage()
+    for host in range(10):
+        stage.report(f"m{host}")
+    stage.submit("req-000001", owner="blue", rungs=300, rank="best_effort", expectS=30.0)
+    begun = None
+    for step in range(150):
+        now = 2.0 + 2.0 * step
+        for number in range(5):  # 20 tasks of 4 s each: all that ten machines can do in 2 s, twice over
+            stage.submit(f"req-{step * 5 + number + 100:06}", owner="blue", rungs=8, expectS=4.0)
+        for host in range(10):
+            stage.report(f"m{host}", now=now)
+        stage.record()
+        stage.desk.schedule(now)
+        large = stage.desk.jobs["req-000001"]
+        if large.claims and begun is None:
+            begun = now
+        for machine in stage.desk.machines.values():
+            for claim in list(machine.claims.values()):
+                stage.desk.end(claim, True, now)
+    assert begun is not None and begun < 240
+    assert large.done > 60, "and it goes on"
--- /dev/null
+++ b/ladderfield/foreman/test_unheard.py
@@ -0,0 +1,127 @@
+"""Machines whose reports arrive but which hear nothing, and copies of reports that come late."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, inherited, launched, rung
+from ladderfield.queues.work import Claim
+from ladderfield.workers.report import Report, parse_report
+
+
+def deaf(stage: Stage, host: str = "m") -> bool:
+    return stage.machine(host).deaf_since is not None
+
+
+def test_launches_that_never_appear_show_that_a_machine_does_not_hear() -> None:
+    stage = Stage()
+    launched(stage, 1)
+    assert stage.report(now=2.0), "lost once: sent again"
+    assert not deaf(stage)
+    assert stage.report(now=3.0) == []
+    assert deaf(stage) and not stage.machine().claims, "it was surely not launched, so it starts elsewhere"
+    stage.report("other", now=3.5)
+    stage.report("other", now=4.0)
+    assert len(stage.machine("other").claims) == 1 and not stage.machine().claims
+
+
+def test_an_epoch_that_is_never_taken_shows_it() -> None:
+    stage = Stage(inherited())
+    for now in (1.0, 2.0, 3.0):
+        stage.report(epoch=EPOCH_NOW - 1, now=now)
+    assert deaf(stage)
+    assert [claim.attempt for claim in stage.machine().claims.values()] == [99], "the claim ends by proof only"
+
+
+def test_a_lease_that_ran_out_although_we_answered_shows_it() -> None:
+    stage = Stage()
+    for now in range(1, 20):
+        stage.report(now=float(now))
+    assert not deaf(stage)
+    stage.report(now=20.0, tenure=2)
+    assert deaf(stage)
+    silent = Stage()
+    silent.report(now=1.0)
+    silent.report(now=14.0, tenure=2)
+    assert not deaf(silent), "a machine that was cut off or stood still is well again"
+
+
+def test_a_machine_that_does_not_hear_is_given_up_unless_it_hears_again() -> None:
+    for heals in (False, True):
+        stage = Stage()
+        launched(stage, 1)
+        for now in (2.0, 3.0):
+            stage.report(now=now)
+        assert deaf(stage)
+        if heals:
+            stage.desk.sessions.answered(stage.machine(), [], True)
+        for now in (4.0, 6.0, 8.0, 9.5):
+            stage.report(now=now)
+        stage.report("other", now=9.5)
+        assert stage.desk.sweep(9.6) == ([] if heals else ["m"])
+
+
+def test_a_relayed_machine_is_not_deaf_because_our_own_calls_fail() -> None:
+    """Its answers come through another controller, which the launches that appear show."""
+    stage = Stage()
+    launched(stage, 1)
+    machine = stage.machine()
+    claim: Claim = machine.claims["req-000001", 0]
+    stage.desk.sessions.ignored(machine, 1, 2.0)
+    stage.report(now=3.0, rungs=(rung(0, claim.attempt),))
+    stage.desk.sessions.ignored(machine, 1, 4.0)
+    assert not deaf(stage), "what appeared between shows that it hears"
+
+
+def test_a_report_without_our_epoch_is_no_sign_that_a_machine_is_well() -> None:
+    """A new foreman with empty tables: copies of what a dead machine said before come one by one."""
+    stage = Stage(inherited())
+    for now in range(1, 14):
+        stage.report("m", (rung(0, 99),), now=float(now), epoch=EPOCH_NOW - 1)
+        stage.report("gone", now=float(now), epoch=EPOCH_NOW - 1)
+    assert not stage.desk.usable(13.0)
+    assert sorted(stage.desk.sweep(13.0)) == ["gone", "m"], "given up as if silent"
+    assert stage.machine().claims, "but the lease may have been renewed by our answers"
+    stage.desk.sweep(13.0 + 12.0)
+    assert stage.machine().claims
+
+
+def test_a_late_copy_neither_proves_an_absence_nor_hides_a_silence() -> None:
+    stage = Stage()
+    stage.report(now=1.0)
+    attempt = launched(stage, 1)
+    stage.report(rungs=(rung(0, attempt),), now=4.0)
+    copy: dict[str, Any] = {
+        "host": "m", "endpoint": "10.9.0.1:90", "flavour": "m4", "yard": "za", "loaners": False,
+        "tenure": 1, "tick": 1, "epoch": EPOCH_NOW, "rungs": [],
+    }  # fmt: skip
+    stage.report("other", now=10.5)
+    for now in (5.0, 7.0, 9.0, 10.5):
+        stage.desk.sessions.report(msgspec.convert(copy, Report), now, answering=True)
+    assert len(stage.machine().claims) == 1
+    assert stage.desk.sweep(10.6) == ["m"], "silent since 4.0"
+    stage.desk.sweep(10.5 + 11.9)
+    assert stage.machine().claims, "the answer to the copy may have renewed the lease"
+
+
+def test_a_copy_from_a_machine_that_was_deleted_brings_nothing_back() -> None:
+    stage = Stage()
+    stage.report(now=1.0)
+    stage.desk.forget("m", 2.0)
+    assert stage.desk.sessions.report(msgspec.convert(RAW, Report), 3.0, answering=True) is None
+    assert not stage.desk.machines
+
+
+RAW: dict[str, Any] = {
+    "host": "m", "endpoint": "10.9.0.1:90", "flavour": "m4", "yard": "za", "loaners": False,
+    "tenure": 1, "tick": 1, "epoch": 0, "rungs": [],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("change", [{"epoch": 2**32}, {"epoch": -1}, {"tick": 2**64}, {"tenure": -1}])
+def test_counts_that_nobody_can_have_given_are_refused(change: dict[str, int]) -> None:
+    with pytest.raises(ValueError):
+        parse_report(msgspec.json.encode(RAW | change))
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -645,3 +645,13 @@
         await whole.submit(0, uid="req-000001", shape="daemon", rungs=1)  # ends the watch that is open now
         uid = await whole.submit(0, uid="req-000002", shape="daemon", rungs=1)
         assert await whole.phase(1, uid) in ("queued", "running")
+
+
+async def test_an_epoch_that_nobody_gave_harms_only_its_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=3, cores=4.0)
+        worker = await whole.busy(uid)
+        worker.epoch = 4000
+        await trio.sleep(25)
+        assert {one.leadership.known_epoch() for one in whole.controllers.values()} == {1}, "no foreman was deposed"
+        assert worker.dead and sum(whole.on().values()) == 3
--- a/ladderfield/workers/test_workers.py
+++ b/ladderfield/workers/test_workers.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from ladderfield.http import Request
 from ladderfield.leadership import EPOCH, FOREMAN, Leadership
 from ladderfield.peers import PeerLink
 from ladderfield.settings import Peer
@@ -44,3 +45,23 @@
 def test_malformed_reports_are_refused(change: dict) -> None:
     with pytest.raises(ValueError):
         parse_report(msgspec.json.encode(RAW | change))
+
+
+async def test_a_late_copy_tells_nothing_about_whom_a_worker_can_reach() -> None:
+    own = settings(1)
+    client = StateClient(own)
+    view = View(client, own)
+    view.data = {FOREMAN: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
+    link = PeerLink(Peer("n0", "10.0.0.1:81"))
+    desk = ReportDesk(own, Leadership(own, client, view), {"n0": link})
+
+    async def relayed(kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
+        return 200, b"{}"
+
+    link.ask = relayed  # type: ignore[method-assign]
+    body = msgspec.json.encode(RAW | {"host": "i-1", "tick": 9})
+    for _ in range(3):
+        reply = await desk(Request("POST", "/v1/report", body))
+        assert reply is not None and reply.status == 421, "a copy of what was sent to the foreman"
+    newer = await desk(Request("POST", "/v1/report", msgspec.json.encode(RAW | {"host": "i-1", "tick": 10})))
+    assert newer is not None and newer.status == 200, "came back itself: relayed"
