Controllers tell each other who is foreman; pages say where machines are; no bulk deletion after a takeover

It went on answering its 400 workers for the bound that an outage needs; its successor, with the cloud down, knew no addresses, heard of nobody, gave all of them up after 0.8 of a lease and deleted them when the cloud was back. Ruled out: the new signs of deafness (80 machines, all in the cut zone at 126 s, none deleted for it). Change: HEALTH answers carry the highest epoch known and its foreman, so that the old one steps down when asked next and a controller without the state service still names the right one; a page holds zone, address and type of its machines, so that a successor can speak to them; machines never heard in a term, where most are silent or where the foreman before stood, are not deleted while that one may answer them.

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -127,7 +127,7 @@
         self.report_s = workers.report_s
         self.grace = grace_s(settings)
         self.send, self.inbox = trio.open_memory_channel[Any](INBOX)
-        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace)
+        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace, term.before)
         self.desk.push = lambda machine: self._to_push.add(machine.host)
         self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
         self.planner = Planner(self.desk)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from ladderfield.foreman.outlook import Outlook
-from ladderfield.foreman.pages import Page, Pages
+from ladderfield.foreman.pages import HOSTS, Page, Pages
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
@@ -44,10 +44,15 @@
 class Desk:
     """The foreman's tables."""
 
-    def __init__(self, settings: Settings, epoch: int, now: float, wall: float, grace_s: float) -> None:
+    def __init__(
+        self, settings: Settings, epoch: int, now: float, wall: float, grace_s: float, before: str = ""
+    ) -> None:
         workers = settings.cluster.workers
         self.settings, self.epoch, self.term_from = settings, epoch, now
         self.others_until = now + grace_s  # an earlier foreman may answer reports until then
+        # Where the foreman before us stood: it may go on answering the workers there, whoever else has lost it.
+        self.zone_before = next((peer.location for peer in settings.peers if peer.member == before), None)
+        self.mostly_silent = False
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
         self.jobs: dict[str, Job] = {}
@@ -93,7 +98,10 @@
 
     def _load_page(self, page: Page, value: dict[str, Any], claims: dict[TaskId, Claim]) -> None:
         """Ends of tasks at once; of the claims the latest of each task is gathered."""
+        hosts = value.get(HOSTS, {})
         for uid, entry in value.items():
+            if uid == HOSTS:
+                continue
             job = self.jobs.get(uid)
             if job is None or job.final == DONE:
                 self.pages.spoil(page)
@@ -101,8 +109,8 @@
             for first, last in entry.get("d", ()):
                 page.add_done(job, range(first, last + 1))
                 job.finished.update(range(first, last + 1))
-            for index, (attempt, host, zone) in entry.get("a", {}).items():
-                claim = Claim(job, int(index), attempt, host, zone)
+            for index, (attempt, host) in entry.get("a", {}).items():
+                claim = Claim(job, int(index), attempt, host, hosts[host])
                 claim.page, claim.recorded, claim.inherited = page, True, True
                 other = claims.get(claim.task)
                 if other is None or other.attempt < attempt:
@@ -117,7 +125,10 @@
         claim.job.bind(claim)
         machine = self.machines.get(claim.host)
         if machine is None:
-            machine = self.machines[claim.host] = Machine(claim.host, "", UNKNOWN, claim.zone, True, now)
+            zone, endpoint, kind, spot = claim.about
+            known = self.types.get(kind, UNKNOWN)
+            machine = self.machines[claim.host] = Machine(claim.host, endpoint, known, zone, spot, now)
+            self.push(machine)  # it has to hear of our epoch
         machine.take(claim)
         self.teams.add(claim.job.spec)
         if claim.job.final is not None:
@@ -181,7 +192,7 @@
     def claim(self, job: Job, index: int, machine: Machine, helped: str, now: float) -> Claim:
         """Bind a task to a machine under a fresh attempt; the epoch in it keeps it fresh for ever."""
         self._attempts += 1
-        claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.zone)
+        claim = Claim(job, index, (self.epoch << 32) + self._attempts, machine.host, machine.about())
         claim.helped = helped
         self.queues.helped(helped, machine.host, 1)
         job.bind(claim)
@@ -395,6 +406,7 @@
                 count[0] += 1
                 silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
                 count[1] += silent or machine.deaf_since is not None
+        self.mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(every for every, _ in known.values())
         return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
 
     def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
@@ -404,6 +416,9 @@
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
+        if machine.up_at is None and (self.mostly_silent or machine.zone == self.zone_before):
+            # The foreman before us may still be answering it; to delete what runs well would be our doing.
+            patience = max(patience, self.others_until - self.term_from)
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.deaf_since is not None and now - machine.deaf_since > patience:
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.pages import JOB_BYTES, TASK_BYTES, Page, claim_bytes, encoded_size
+from ladderfield.foreman.pages import JOB_BYTES, TASK_BYTES, Page, encoded_size
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB
 from ladderfield.leadership import EPOCH
 from ladderfield.queues.work import Claim, Job
@@ -87,17 +87,15 @@
         claims = list(self.desk.unrecorded)[::-1]  # the last of the list is the oldest
         while (claims or ends) and txn.left > 0 and txn.size + pages.most < BYTES:
             page = pages.roomiest(set(txn.pages))
-            room = pages.most - page.size
-            while claims and claim_bytes(claims[-1]) <= room:
+            while claims and page.size + page.cost(claims[-1]) <= pages.most:
                 claim = claims.pop()
-                room -= claim_bytes(claim)
                 page.add_claim(claim)
                 del self.desk.unrecorded[claim]
             for job in list(ends):
-                if room < JOB_BYTES + TASK_BYTES:
+                room = (pages.most - page.size - JOB_BYTES) // TASK_BYTES
+                if room <= 0:
                     break
-                part = sorted(ends[job])[: (room - JOB_BYTES) // TASK_BYTES]
-                room -= JOB_BYTES + len(part) * TASK_BYTES
+                part = sorted(ends[job])[:room]
                 page.add_done(job, part)
                 rest = ends.pop(job).difference(part)
                 if rest:
--- a/ladderfield/foreman/pages.py
+++ b/ladderfield/foreman/pages.py
@@ -19,19 +19,21 @@
 from ladderfield.jobs.model import page_key
 from ladderfield.queues.work import Claim, Job, ranges
 
+HOSTS = "hosts"  # no job is called that
 FULL = 15 / 16  # of the state service's limit on a value
-CLAIM_BYTES, TASK_BYTES, JOB_BYTES = 72, 16, 48  # the most that one takes in a page, names of host and zone apart
+CLAIM_BYTES, TASK_BYTES, JOB_BYTES = 72, 16, 48  # the most that one takes in a page, names apart
 
 
 class Page:
     """One record."""
 
-    __slots__ = ("claims", "dirty", "done", "number", "owing", "size", "stamp")
+    __slots__ = ("claims", "dirty", "done", "hosts", "number", "owing", "size", "stamp")
 
     def __init__(self, number: int, stamp: int = 0) -> None:
         self.number, self.stamp = number, stamp
         self.claims: dict[Claim, None] = {}
         self.done: dict[Job, set[int]] = {}
+        self.hosts: dict[str, int] = {}  # machines of these claims, and how many each has
         self.size = 0  # an upper bound of the value's bytes, as it would be written now
         self.dirty = False  # the record still has what is no longer so
         self.owing = False  # it holds what is not on record, since a write of it failed
@@ -43,14 +45,22 @@
 
     def add_claim(self, claim: Claim) -> None:
         """The claim is to be kept here."""
+        self.size += self.cost(claim)
         self.claims[claim] = None
+        self.hosts[claim.host] = self.hosts.get(claim.host, 0) + 1
         claim.page = self
-        self.size += claim_bytes(claim)
+
+    def cost(self, claim: Claim) -> int:
+        """The most bytes that the claim adds to the value."""
+        return CLAIM_BYTES + len(claim.host) + (0 if claim.host in self.hosts else host_bytes(claim))
 
     def drop_claim(self, claim: Claim) -> None:
         """It has ended."""
         if self.claims.pop(claim, self) is None:
-            self.size -= claim_bytes(claim)
+            self.hosts[claim.host] -= 1
+            if not self.hosts[claim.host]:
+                del self.hosts[claim.host]
+            self.size -= self.cost(claim)
 
     def add_done(self, job: Job, tasks: Iterable[int]) -> None:
         """The ends of these tasks are to be kept here."""
@@ -67,19 +77,25 @@
             self.size -= len(self.done.pop(job)) * TASK_BYTES + JOB_BYTES
 
     def value(self) -> dict[str, Any]:
-        """The record: of each job its finished ranges (d) and claims (a: task -> attempt, machine, zone)."""
+        """The record: of each job its finished ranges (d) and claims (a: task -> attempt, machine), and of each of
+        these machines zone, address, type and kind: a new foreman must be able to speak to them while the cloud, which
+        could tell, is down."""
         value: dict[str, Any] = {}
         for job, tasks in self.done.items():
             value.setdefault(job.uid, {})["d"] = ranges(tasks)
+        hosts: dict[str, list[Any]] = {}
         for claim in self.claims:
             claims = value.setdefault(claim.job.uid, {}).setdefault("a", {})
-            claims[str(claim.index)] = [claim.attempt, claim.host, claim.zone]
+            claims[str(claim.index)] = [claim.attempt, claim.host]
+            hosts[claim.host] = claim.about
+        if hosts:
+            value[HOSTS] = hosts
         return value
 
 
-def claim_bytes(claim: Claim) -> int:
-    """The most that a claim adds to a page, its job's name included."""
-    return CLAIM_BYTES + len(claim.host) + len(claim.zone)
+def host_bytes(claim: Claim) -> int:
+    """The most that what is said of its machine adds to a page."""
+    return len(claim.host) + 4 + sum(len(str(part)) + 3 for part in claim.about)
 
 
 class Pages:
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -17,6 +17,7 @@
 from ladderfield.workers.report import Report
 
 EPOCH_NOW = 7
+ABOUT = ["za", "10.9.0.1:90", "m4", False]  # what a page says of a machine
 
 
 class Stage:
@@ -160,7 +161,7 @@
     """What an earlier foreman left on record."""
     return {
         "lf/j/req-000001": ({"spec": job(rungs=1, cores=4.0), "at": 990.0, "block": 256}, 4),
-        "lf/p/0": ({"req-000001": {"a": {"0": [attempt, "m", "za"]}}}, 6),
+        "lf/p/0": ({"hosts": {"m": ABOUT}, "req-000001": {"a": {"0": [attempt, "m"]}}}, 6),
     }
 
 
--- a/ladderfield/foreman/test_pages.py
+++ b/ladderfield/foreman/test_pages.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ladderfield.foreman.pages import encoded_size
-from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, rung
+from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, rung
 from ladderfield.queues.work import Claim
 from ladderfield.testing import job
 
@@ -15,7 +15,8 @@
 def taken_over(*pages: dict[str, Any], finals: dict[str, Any] | None = None, tasks: int = 2) -> Stage:
     """A foreman that found a job and these pages on record."""
     data: dict[str, Any] = {"lf/j/req-000001": ({"spec": job(rungs=tasks), "at": 990.0, "block": 256}, 4)}
-    data |= {f"lf/p/{number}": ({"req-000001": page}, 6 + number) for number, page in enumerate(pages)}
+    hosts = {"m": ABOUT, "n": ABOUT}
+    data |= {f"lf/p/{number}": ({"hosts": hosts, "req-000001": page}, 6 + number) for number, page in enumerate(pages)}
     return Stage(data | {f"lf/f/{uid}": (value, 9) for uid, value in (finals or {}).items()})
 
 
@@ -90,7 +91,7 @@
 
 
 def test_of_two_claims_on_record_the_later_attempt_counts() -> None:
-    stage = taken_over({"a": {"0": [99, "m", "za"]}}, {"a": {"0": [100, "n", "za"]}})
+    stage = taken_over({"a": {"0": [99, "m"]}}, {"a": {"0": [100, "n"]}})
     assert binding(stage) == {0: 100}
     assert stage.desk.teams.cpus["red"] == 2.0
     stage.report("m", (rung(0, 99),))
@@ -98,19 +99,19 @@
 
 
 def test_a_claim_of_a_finished_task_does_not_bind() -> None:
-    stage = taken_over({"a": {"0": [99, "m", "za"]}}, {"d": [[0, 0]]})
+    stage = taken_over({"a": {"0": [99, "m"]}}, {"d": [[0, 0]]})
     assert binding(stage) == {} and stage.desk.jobs["req-000001"].finished == {0}
 
 
 def test_what_pages_say_of_a_job_that_is_done_counts_for_nothing() -> None:
-    stage = taken_over({"a": {"1": [99, "m", "za"]}, "d": [[0, 0]]}, finals={"req-000001": {"phase": "done"}})
+    stage = taken_over({"a": {"1": [99, "m"]}, "d": [[0, 0]]}, finals={"req-000001": {"phase": "done"}})
     assert binding(stage) == {}
     stage.record()
     assert not stage.desk.jobs and stage.desk.pages.pages[0].value() == {}
 
 
 def test_a_cancelled_jobs_claims_bind_until_they_are_gone() -> None:
-    stage = taken_over({"a": {"1": [99, "m", "za"]}}, finals={"req-000001": {"phase": "cancelled", "at": 995.0}})
+    stage = taken_over({"a": {"1": [99, "m"]}}, finals={"req-000001": {"phase": "cancelled", "at": 995.0}})
     assert binding(stage) == {1: 99}
     (order,) = stage.report("m", (rung(1, 99),))
     assert order["verb"] == "stop"
@@ -120,7 +121,7 @@
 
 
 def test_tasks_that_finished_are_all_on_record_whichever_page_has_them() -> None:
-    stage = taken_over({"d": [[0, 2]]}, {"d": [[4, 4]], "a": {"3": [99, "m", "za"]}}, tasks=6)
+    stage = taken_over({"d": [[0, 2]]}, {"d": [[4, 4]], "a": {"3": [99, "m"]}}, tasks=6)
     one = stage.desk.jobs["req-000001"]
     assert one.finished == {0, 1, 2, 4}
     claim: Claim = one.claims[3]
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -7,8 +7,9 @@
 import msgspec
 import pytest
 
-from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, inherited, launched, rung
+from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
 from ladderfield.queues.work import Claim
+from ladderfield.testing import job
 from ladderfield.workers.report import Report, parse_report
 
 
@@ -125,3 +126,14 @@
 def test_counts_that_nobody_can_have_given_are_refused(change: dict[str, int]) -> None:
     with pytest.raises(ValueError):
         parse_report(msgspec.json.encode(RAW | change))
+
+
+def test_machines_that_another_foreman_may_still_answer_are_not_deleted_in_bulk() -> None:
+    """Grown apart: the foreman lost the state service alone, its successor heard of no worker and gave 400 up."""
+    claims = {str(number): [99, host] for number, host in enumerate("abc")}
+    pages = {"lf/p/0": ({"hosts": dict.fromkeys("abc", ABOUT), "req-000001": {"a": claims}}, 6)}
+    job_key = {"lf/j/req-000001": ({"spec": job(rungs=3), "at": 990.0, "block": 256}, 4)}
+    stage = Stage(job_key | pages)
+    assert stage.desk.sweep(30.0) == []
+    stage.desk.sole(31.0)
+    assert sorted(stage.desk.sweep(31.1)) == ["a", "b", "c"], "nobody else answers them"
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -15,6 +15,7 @@
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.machine import CLOCKS
+from ladderfield.workers.report import EPOCH_MOST
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +42,7 @@
     hold: int
     renewed_at: float  # when the last renewal that succeeded was sent
     ttl: float
+    before: str = ""  # who was foreman before
     over: trio.Event = field(default_factory=trio.Event)
 
     def may_start(self, now: float) -> bool:
@@ -62,10 +64,31 @@
         self.ttl = max(0.1, TTL * settings.cluster.workers.report_s)
         self.grace = grace_s(settings)
         self.term: Term | None = None
+        self._told: tuple[int, str] = (0, "")
         members = sorted([settings.member, *(peer.member for peer in settings.peers)])
         self._turn = members.index(settings.member)
 
+    def latest(self) -> tuple[int, str]:
+        """The highest epoch known here, and its foreman ("" if there is none, or we can't say)."""
+        if self.term is not None:
+            return self.term.epoch, self.settings.member
+        recorded = (self.known_epoch(), self._holder() or "")
+        return max(recorded, self._told, key=lambda known: known[0])
+
+    def told(self, epoch: int, foreman: str) -> None:
+        """Another controller says who is foreman. It counts where our own view is behind, that is where the state
+        service does not serve us; and never against a lease that is surely ours."""
+        if epoch <= max(self._told[0], self.known_epoch()) or not foreman or epoch >= EPOCH_MOST:
+            return
+        self._told = (epoch, foreman)
+        if self.term is not None and epoch > self.term.epoch and not self.term.may_start(trio.current_time()):
+            self.term.end(f"{foreman} has epoch {epoch}")
+
     def known_foreman(self) -> str | None:
+        """Who is foreman, as far as is known here."""
+        return self.latest()[1] or None
+
+    def _holder(self) -> str | None:
         """Who the view says is foreman."""
         value = self.view.get(FOREMAN)
         return value.get("member") if isinstance(value, dict) else None
@@ -74,13 +97,17 @@
         """The highest epoch on record."""
         return int((self.view.get(EPOCH) or {}).get("epoch", 0))
 
+    def previous(self) -> str:
+        """Who had the highest epoch on record."""
+        return str((self.view.get(EPOCH) or {}).get("member", ""))
+
     async def run(self, terms: trio.MemorySendChannel[Term]) -> None:
         """Campaign and serve, term after term. Each term is announced once it is won."""
         async with self.view.subscribe() as changes:
             while True:
                 while self.view.synced and self._vacant():
                     # A short turn by name keeps two candidates from paying for the same campaign.
-                    if self._turn and self.known_foreman() is None:
+                    if self._turn and self._holder() is None:
                         await trio.sleep(self._turn * self.ttl / 40)
                         if not self._vacant():
                             break
@@ -98,7 +125,7 @@
 
     def _vacant(self) -> bool:
         """No foreman, or the one on record is an earlier process of this very controller, which is dead."""
-        return self.known_foreman() in (None, self.settings.member)
+        return self._holder() in (None, self.settings.member)
 
     async def _campaign(self) -> Term | None:
         guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
@@ -107,7 +134,8 @@
         asked = trio.current_time()
         hold = await self.client.grant(self.ttl, timeout)
         sent = trio.current_time()
-        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: {"epoch": epoch}}
+        before = self.previous()
+        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: {"epoch": epoch, "member": self.settings.member}}
         outcome = await self.client.commit(guards, puts, [], timeout, hold, FOREMAN)
         if outcome.failed is not None:
             with trio.move_on_after(timeout):
@@ -117,7 +145,7 @@
             # We stood still meanwhile. The lease may be over, others may have heard from us that we are not foreman.
             return None
         log.info("epoch %d: foreman is %s", epoch, self.settings.member)
-        return Term(epoch, outcome.ledger, hold, sent, self.ttl)
+        return Term(epoch, outcome.ledger, hold, sent, self.ttl, before)
 
     async def _serve(
         self, term: Term, terms: trio.MemorySendChannel[Term], changes: trio.MemoryReceiveChannel[list]
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,9 +1,12 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
 Only two things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
-controller; and each learns how the others are: whether the state service serves them, and that they are not foreman.
+controller; and each learns how the others are: whether the state service serves them, that they are not foreman, and
+who is. So a foreman that the state service alone has lost steps down as soon as its successor can be asked, and a
+controller without the state service still sends workers to the right place.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
+    health: leads B | epoch Q | name of that epoch's foreman
 
 ``status`` is an HTTP status in answers, and in a relay the number of controllers that have carried it already.
 """
@@ -22,10 +25,10 @@
 log = logging.getLogger(__name__)
 
 HEAD = struct.Struct("!2sBBHI")
-MAGIC, VERSION = b"lf", 1
+MAGIC, VERSION = b"lf", 2
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH = 1, 2, 3
-LEADS, FOLLOWS = b"L", b"F"  # in the answer to HEALTH
+SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
 AT_ONCE = 8  # questions to one peer
 
 
@@ -109,6 +112,7 @@
         self.reachable = True  # as of the last question
         self.state_ok = False  # whether the state service serves it, as it last said
         self.leads = True  # whether it may be foreman, as it last said; silence proves nothing
+        self.knows: tuple[int, str] = (0, "")  # the highest epoch it knows, and that epoch's foreman
 
     async def ask(self, kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
         """The answer's status and body, or None."""
@@ -139,4 +143,7 @@
         """Ask how the other controller is."""
         answer = await self.ask(HEALTH, b"", timeout)
         self.state_ok = answer is not None and answer[0] == 200
-        self.leads = answer is None or answer[1] != FOLLOWS
+        self.leads, self.knows = True, (0, "")
+        if answer is not None and len(answer[1]) >= SELF.size:
+            leads, epoch = SELF.unpack_from(answer[1])
+            self.leads, self.knows = bool(leads), (epoch, answer[1][SELF.size :].decode(errors="replace"))
--- a/ladderfield/queues/test_queues.py
+++ b/ladderfield/queues/test_queues.py
@@ -32,7 +32,7 @@
 
 def bind(one: Job, index: int, where: Machine) -> Claim:
     """A claim on a machine."""
-    claim = Claim(one, index, index + 1, where.host, where.zone)
+    claim = Claim(one, index, index + 1, where.host, where.about())
     one.bind(claim)
     where.take(claim)
     return claim
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
 
@@ -28,6 +28,7 @@
     """One attempt of one task, bound to one machine."""
 
     __slots__ = (
+        "about",
         "attempt",
         "helped",
         "host",
@@ -46,8 +47,9 @@
         "zone",
     )
 
-    def __init__(self, job: Job, index: int, attempt: int, host: str, zone: str) -> None:
-        self.zone = zone
+    def __init__(self, job: Job, index: int, attempt: int, host: str, about: list[Any]) -> None:
+        self.about = about  # the machine's zone, address, type, and whether it is a spot machine
+        self.zone: str = about[0]
         self.job, self.index, self.attempt, self.host = job, index, attempt, host
         self.page: Page | None = None  # the record that holds it
         self.recorded = False  # in the state service: only then may the launch go out
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -14,7 +14,7 @@
 from ladderfield.jobs.door import SUBMIT_S, Door
 from ladderfield.jobs.model import TYPES, parse_types
 from ladderfield.leadership import Leadership, Term
-from ladderfield.peers import FOLLOWS, HEALTH, LEADS, RELAY, BackServer, PeerLink
+from ladderfield.peers import HEALTH, RELAY, SELF, BackServer, PeerLink
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.intake import ReportDesk
@@ -51,7 +51,8 @@
             return await self.reports.relayed(body, status)
         if kind == HEALTH:
             leads = self.leadership.term is not None or self.reports.inbox is not None
-            return (200 if self.door.state_ok else 503), LEADS if leads else FOLLOWS
+            epoch, foreman = self.leadership.latest()
+            return (200 if self.door.state_ok else 503), SELF.pack(leads, epoch) + foreman.encode()
         return 400, b""
 
     async def run_health(self) -> None:
@@ -63,6 +64,8 @@
                 for link in self.links.values():
                     nursery.start_soon(link.check, pause)
                 self.door.state_ok = await self.view.fresh(pause)
+            for link in self.links.values():
+                self.leadership.told(*link.knows)
             if (
                 term is not None
                 and term is self.leadership.term
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -655,3 +655,28 @@
         await trio.sleep(25)
         assert {one.leadership.known_epoch() for one in whole.controllers.values()} == {1}, "no foreman was deposed"
         assert worker.dead and sum(whole.on().values()) == 3
+
+
+async def test_a_foreman_that_only_the_state_service_lost_makes_way_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Grown apart: it went on answering its workers, and the cloud, which could tell where they are, was down."""
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=4)
+        await whole.busy(uid)
+        await trio.sleep(3)
+        first = whole.foreman()
+        whole.cloud.down = True
+
+        async def unavailable(*_: Any, **__: Any) -> tuple[int, bytes]:
+            await trio.sleep(0.01)
+            return 503, b"{}"
+
+        alone = whole.controllers[first]
+        alone.client._client.call = alone.client._watcher.call = unavailable  # type: ignore[method-assign]
+        await trio.sleep(8)
+        assert alone.leadership.term is None, "it was told of its successor"
+        _, answer = await whole.call(first, "POST", "/v1/report", whole.cloud.workers["i-000000"].body())
+        assert answer.get("foreman") == f"n{whole.foreman()}" or answer.get("epoch") == 2, "and names it, or relays"
+        await trio.sleep(30)
+        whole.cloud.down = False
+        await trio.sleep(10)
+        assert len(whole.starts(uid)) == 4
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from typing import Any
 
 from ladderfield.jobs.model import JobSpec, MachineType, fits
 from ladderfield.queues.work import Claim, Job, TaskId
@@ -84,6 +85,10 @@
         self.idle_since: float | None = now
         self.listed: str | None = None
 
+    def about(self) -> list[Any]:
+        """What a claim's record says of the machine."""
+        return [self.zone, self.endpoint, self.kind.name, self.spot]
+
     def allows(self, spec: JobSpec) -> bool:
         """Whether type, zone and kind are allowed for the job."""
         if self.kind is UNKNOWN:
