Room by age: half to first tasks, half by age, and only what was given so counts as used

Old jobs that ran in their turn counted as having used the quarter that goes by age, so nothing was left of it. Ruled out: capacity (all 454 machines up), the intake. Change: only claims made by age count, and half of the part gives a first task to each old job that has not begun.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -18,8 +18,8 @@
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
-from ladderfield.queues.pick import Queues, Share, Tier, tiers
-from ladderfield.queues.work import Claim, Job, Shape, TaskId, task_name
+from ladderfield.queues.pick import Queues, Tier, tiers
+from ladderfield.queues.work import Claim, Job, Shape, Share, TaskId, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
 from ladderfield.teams import Teams
@@ -69,6 +69,7 @@
         self.complete: dict[Job, None] = {}
         self.over: dict[Job, None] = {}
         self.changed = True  # something since the last pass could let a task start
+        self.firsts, self.eldest = Share(), Share()  # room for jobs that have waited for long
         self._attempts = 0
         self.outlook = Outlook(settings)
         self.sessions = Sessions(self)
@@ -209,6 +210,8 @@
         machine.free(claim, now)
         if claim.helped is not None:
             self.queues.helped(claim.helped, claim.host, -1)
+        if claim.share is not None:
+            claim.share.held -= job.spec.cpus
         job.release(claim)
         self.unrecorded.pop(claim, None)
         self.pages.ended(claim, done)
@@ -281,18 +284,20 @@
 
     def _old_first(self, ready: list[Tier], machines: list[Machine], now: float) -> list[Tier]:
         """Least work first would let large jobs wait for ever while small ones keep coming, and rank the low ranks.
-        So a part of the room goes by age: to what has waited for long, whatever it is, after production replicas."""
-        old = [job for job in self.jobs.values() if job.final is None and self.outlook.old(job, now)]
-        held = sum(len(job.claims) * job.spec.cpus for job in old)
-        share = Share(OLD_SHARE * sum(machine.kind.cpus for machine in machines) - held)
-        waiting = {job for tier in ready for job in tier.jobs}.intersection(old)
-        if not waiting or share.cpus <= 0:
-            return ready
+        So a part of the room goes to what has waited for long, whatever it is, after production replicas: half of it
+        to first tasks of jobs of which nothing has begun, half by age."""
         by_age: dict[int, set[Job]] = {}
-        for job in waiting:
-            by_age.setdefault(self.outlook.age(job), set()).add(job)
+        for job in (job for tier in ready for job in tier.jobs):
+            if self.outlook.old(job, now):
+                by_age.setdefault(self.outlook.age(job), set()).add(job)
+        if not by_age:
+            return ready
+        self.firsts.limit = self.eldest.limit = OLD_SHARE / 2 * sum(machine.kind.cpus for machine in machines)
+        unbegun = {job for jobs in by_age.values() for job in jobs if not job.begun}
+        old = [Tier(False, unbegun, self.firsts, first_only=True)] if unbegun else []
+        old += [Tier(False, by_age[age], self.eldest) for age in sorted(by_age)]
         first = next((n for n, tier in enumerate(ready) if tier.rank > 0), len(ready))
-        return [*ready[:first], *(Tier(False, by_age[age], share) for age in sorted(by_age)), *ready[first:]]
+        return [*ready[:first], *old, *ready[first:]]
 
     def _deal(self, machines: list[Machine]) -> None:
         fit: dict[Shape, list[Machine]] = {}
@@ -308,7 +313,7 @@
     def _fill(self, machine: Machine, tier: Tier, score: int, now: float) -> int:
         def allowed(spec: JobSpec) -> bool:
             # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
-            if tier.share is not None and tier.share.cpus < spec.cpus:
+            if tier.share is not None and not tier.share.allows(spec.cpus):
                 return False
             return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
 
@@ -322,9 +327,10 @@
                 # Whatever the queues say: a task whose claim binds, or that is done, is never claimed again.
                 log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
                 continue
-            self.claim(job, index, machine, owner, now)
+            claim = self.claim(job, index, machine, owner, now)
             if tier.share is not None:
-                tier.share.cpus -= job.spec.cpus
+                claim.share = tier.share
+                tier.share.held += job.spec.cpus
             made += 1
         return made
 
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from ladderfield.jobs.model import JobSpec
-from ladderfield.queues.work import Claim, Job, Shape
+from ladderfield.queues.work import Claim, Job, Shape, Share
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import Machine
 
@@ -150,21 +150,13 @@
         return job, index, owner.host
 
 
-class Share:
-    """The cpus that may go to some jobs ahead of their turn."""
-
-    __slots__ = ("cpus",)
-
-    def __init__(self, cpus: float) -> None:
-        self.cpus = cpus
-
-
 class Tier:
     """Jobs of equal standing, grouped by what decides where their tasks fit, so that a machine is asked once for
     all jobs of one kind."""
 
-    def __init__(self, owed: bool, jobs: set[Job], share: Share | None = None) -> None:
+    def __init__(self, owed: bool, jobs: set[Job], share: Share | None = None, first_only: bool = False) -> None:
         self.owed, self.jobs, self.share = owed, jobs, share
+        self.first_only = first_only  # only a job's first task starts by it
         self.rank = max(job.order[0] for job in jobs)
         self.groups: dict[Shape, dict[str, list[Job]]] = {}  # shape -> image -> jobs
         for job in jobs:
@@ -190,6 +182,8 @@
                 local = images.values()
             for jobs in local:
                 for job in jobs:
+                    if self.first_only and job.begun:
+                        continue
                     if job.queued and machine.host not in job.failed_hosts and may_go(job) and settled(job, machine):
                         found.add(job)
         return found
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -24,6 +24,19 @@
     return f"{task[0]}/{task[1]}"
 
 
+class Share:
+    """A part of all room that goes to some jobs ahead of their turn, and what their claims hold of it."""
+
+    __slots__ = ("held", "limit")
+
+    def __init__(self) -> None:
+        self.held = self.limit = 0.0  # cpus
+
+    def allows(self, cpus: float) -> bool:
+        """Whether so much more may be given."""
+        return self.held + cpus <= self.limit
+
+
 class Claim:
     """One attempt of one task, bound to one machine."""
 
@@ -42,6 +55,7 @@
         "sent_at",
         "sent_tenure",
         "sent_tick",
+        "share",
         "stop_at",
         "stopping",
         "zone",
@@ -61,6 +75,7 @@
         self.sent_tick = 0  # the report whose answer carried it
         self.stopping: str | None = None  # why it is being stopped
         self.stop_at = -math.inf  # when the stop was last sent
+        self.share: Share | None = None  # of which it was given room ahead of its turn
         self.helped: str | None = None  # the machine from whose queue it was taken
 
     @property
@@ -132,6 +147,11 @@
         """All tasks done."""
         return self.done >= self.spec.tasks
 
+    @property
+    def begun(self) -> bool:
+        """Whether any task runs or is done."""
+        return bool(self.claims or self.finished)
+
     @property
     def waiting(self) -> int:
         """Tasks neither done nor claimed."""
