All foremen that may still answer their zone are on record, not only the last

The second takeover, at 226 s, knew only the first successor and deleted 41 machines of columbia at 248 s, five seconds before the cut ended, while the old foreman still answered them. Ruled out: deafness, machines that fail tasks. Change: the epoch's record lists earlier foremen with the time until which they may answer.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -8,7 +8,7 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -45,13 +45,23 @@
     """The foreman's tables."""
 
     def __init__(
-        self, settings: Settings, epoch: int, now: float, wall: float, grace_s: float, before: str = ""
+        self,
+        settings: Settings,
+        epoch: int,
+        now: float,
+        wall: float,
+        grace_s: float,
+        before: Mapping[str, float] | None = None,
     ) -> None:
         workers = settings.cluster.workers
         self.settings, self.epoch, self.term_from = settings, epoch, now
         self.others_until = now + grace_s  # an earlier foreman may answer reports until then
-        # Where the foreman before us stood: it may go on answering the workers there, whoever else has lost it.
-        self.zone_before = next((peer.location for peer in settings.peers if peer.member == before), None)
+        # Where foremen before us stood: they may go on answering the workers there, whoever else has lost them.
+        self.zones_before = {
+            peer.location: before[peer.member] - wall + now
+            for peer in settings.peers
+            if before and peer.member in before
+        }
         self.mostly_silent = False
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
@@ -422,9 +432,10 @@
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
-        if machine.up_at is None and (self.mostly_silent or machine.zone == self.zone_before):
-            # The foreman before us may still be answering it; to delete what runs well would be our doing.
-            patience = max(patience, self.others_until - self.term_from)
+        if machine.up_at is None:
+            # A foreman before us may still be answering it; to delete what runs well would be our doing.
+            until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
+            patience = max(patience, min(until, self.others_until) - self.term_from)
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.deaf_since is not None and now - machine.deaf_since > patience:
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -7,9 +7,11 @@
 import msgspec
 import pytest
 
+from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
 from ladderfield.queues.work import Claim
-from ladderfield.testing import job
+from ladderfield.testing import job, settings
+from ladderfield.workers.machine import UNKNOWN, Machine
 from ladderfield.workers.report import Report, parse_report
 
 
@@ -137,3 +139,15 @@
     assert stage.desk.sweep(30.0) == []
     stage.desk.sole(31.0)
     assert sorted(stage.desk.sweep(31.1)) == ["a", "b", "c"], "nobody else answers them"
+
+
+def test_a_zone_that_an_earlier_foreman_may_hold_is_given_its_time() -> None:
+    """Grown troubles: the zone was cut off with its foreman, and two takeovers later its machines were deleted."""
+    one = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, {"n1": 1020.0})
+    assert one.zones_before == {"zb": 20.0}
+    for host, zone in (("a", "za"), ("b", "zb"), ("c", "za"), ("d", "za"), ("e", "za")):
+        machine = one.machines[host] = Machine(host, "10.9.0.1:90", UNKNOWN, zone, False, 0.0)
+        if host in "cde":
+            machine.up_at = machine.fresh_at = 15.0
+    assert one.sweep(15.0) == ["a"]
+    assert one.sweep(20.1) == ["a", "b"]
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from dataclasses import dataclass, field
 
 import trio
@@ -42,7 +43,9 @@
     hold: int
     renewed_at: float  # when the last renewal that succeeded was sent
     ttl: float
-    before: str = ""  # who was foreman before
+    before: dict[str, float] = field(
+        default_factory=dict
+    )  # earlier foremen who may still answer; until what time of day
     over: trio.Event = field(default_factory=trio.Event)
 
     def may_start(self, now: float) -> bool:
@@ -97,9 +100,15 @@
         """The highest epoch on record."""
         return int((self.view.get(EPOCH) or {}).get("epoch", 0))
 
-    def previous(self) -> str:
-        """Who had the highest epoch on record."""
-        return str((self.view.get(EPOCH) or {}).get("member", ""))
+    def _earlier(self) -> dict[str, float]:
+        """Earlier foremen that nobody has seen the end of, and until when they may go on answering workers. Only a
+        hint where not to be hasty; what is safe does not depend on clocks."""
+        record, now = self.view.get(EPOCH) or {}, time.time()
+        earlier = {member: until for member, until in record.get("before", {}).items() if until > now}
+        if record.get("member"):
+            earlier[record["member"]] = round(now + self.grace, 3)
+        earlier.pop(self.settings.member, None)
+        return earlier
 
     async def run(self, terms: trio.MemorySendChannel[Term]) -> None:
         """Campaign and serve, term after term. Each term is announced once it is won."""
@@ -134,8 +143,9 @@
         asked = trio.current_time()
         hold = await self.client.grant(self.ttl, timeout)
         sent = trio.current_time()
-        before = self.previous()
-        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: {"epoch": epoch, "member": self.settings.member}}
+        before = self._earlier()
+        record = {"epoch": epoch, "member": self.settings.member, "before": before}
+        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: record}
         outcome = await self.client.commit(guards, puts, [], timeout, hold, FOREMAN)
         if outcome.failed is not None:
             with trio.move_on_after(timeout):
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -51,7 +51,8 @@
     everyone = {f"n{n}": f"10.0.0.{n + 1}" for n in range(3)}
     mine = everyone.pop(f"n{member}")
     raw = SETTINGS | {"member": f"n{member}", "bind": f"{mine}:80", "back": f"{mine}:81"}
-    raw["peers"] = [{"member": name, "endpoint": f"{at}:81"} for name, at in everyone.items()]
+    zones = {"n0": "za", "n1": "zb", "n2": "za"}
+    raw["peers"] = [{"member": name, "location": zones[name], "endpoint": f"{at}:81"} for name, at in everyone.items()]
     return msgspec.convert(raw, Settings)
 
 
