--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -280,6 +280,8 @@
                 if score == 0 and tier.rank == 0:
                     for job in tier.jobs:
                         self.room.for_replicas(job, prompt, now)
+                    # A replica whose image has to be fetched starts soonest where that goes quickest.
+                    asking.sort(key=lambda one: -one.kind.fetch_gb_per_s)
                 for machine in asking:
                     if now >= machine.hold_until or tier.rank <= machine.hold_rank:
                         made += self._fill(machine, tier, score, now)
@@ -435,7 +437,8 @@
         if machine.up_at is None:
             # A foreman before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
-            patience = max(patience, min(until, self.others_until) - self.term_from)
+            if min(until, self.others_until) > self.term_from:
+                patience = min(until, self.others_until) - self.term_from + LOST_TOGETHER * self.lease_s
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.deaf_since is not None and now - machine.deaf_since > patience:
