Kept connections to workers are bounded; a strange address harms only its machine; relays 16 at once

Cause: the foreman held a connection to each of 454 machines besides their own to it, 940 of 1,200 sockets at the peak; an address that is none ended the foreman's term. Change: the 150 used last are kept (an eighth of the sockets).

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -138,7 +138,8 @@
         self._renting: dict[str, Offer] = {}  # hires under way
         self._hires = 0
         self._deleting: set[str] = set()
-        self._clients: dict[str, Client] = {}
+        self._clients: dict[str, Client] = {}  # by host, those used last at the end
+        self._keep = max(COURIERS, settings.cluster.quota.max_connections // 8)
         self._txns, self._txn_inbox = trio.open_memory_channel[Txn](1)
 
     async def run(self, announce: Any) -> None:
@@ -445,10 +446,10 @@
         host, tenure = machine.host, max(machine.tenure, 1)
         attempts = [order["try"] for order in orders if order["verb"] == "launch"]
         executed, report = False, None
+        client = self._clients.pop(host, None)
         try:
-            client = self._clients.get(host)
-            if client is None:
-                client = self._clients[host] = Client(*address(machine.endpoint), keep=1)
+            client = client or Client(*address(machine.endpoint), keep=1)
+            self._clients[host] = client
             body = {"epoch": self.term.epoch, "tenure": tenure, "orders": orders}
             status, data = await client.call("POST", "/orders", body, PUSH_S * self.report_s)
             executed = status == 200
@@ -456,9 +457,13 @@
                 report = parse_report(data)
         except (NoAnswer, ValueError) as error:
             log.debug("machine %s: no answer to orders: %s", host, error)
-            stale = self._clients.pop(host, None)
-            if stale is not None:
-                await stale.drop()
+            self._clients.pop(host, None)
+        if client is not None and client is not self._clients.get(host):
+            await client.drop()
+        while len(self._clients) > self._keep:
+            # Sockets are for workers and users first: the connections used last are kept, the others made again.
+            oldest = next(iter(self._clients))
+            await self._clients.pop(oldest).drop()
         await self.send.send(Pushed(host, attempts, executed, report))
 
     async def _lister(self) -> None:
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -29,7 +29,7 @@
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH = 1, 2, 3
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
-AT_ONCE = 8  # questions to one peer
+AT_ONCE = 16  # questions to one peer: a zone's workers may all be relayed at once
 
 
 class BadFrame(Exception):
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -139,7 +139,7 @@
     controller = Controller(settings)
     most = settings.cluster.quota.max_connections
     front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
-    back = BackServer(controller.handle_back, max(8, most // 16), IDLE_S, SUBMIT_S)
+    back = BackServer(controller.handle_back, max(8, most // 12), IDLE_S, SUBMIT_S)
     log.info("controller %s starts in %s", settings.member, settings.location or "no zone")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_listen, settings.bind, front, most)
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -680,3 +680,14 @@
         whole.cloud.down = False
         await trio.sleep(10)
         assert len(whole.starts(uid)) == 4
+
+
+async def test_a_strange_address_harms_only_its_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=3, cores=4.0)
+        worker = await whole.busy(uid)
+        worker.about["endpoint"] = "nowhere"
+        first = whole.foreman()
+        other = await whole.submit(uid="req-000002", rungs=8)
+        await whole.until(0, other, "done", 60)
+        assert whole.foreman() == first and whole.controllers[first].leadership.known_epoch() == 1
