--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -313,7 +313,9 @@
         if machine is None:
             return
         if message.report is None or message.report.host != message.host:
-            if machine.heard_at is not None and not machine.relayed:
+            # Only where reports do come straight from it: what is silent, or relayed, is out of our reach anyway.
+            heard = machine.heard_at is not None and now - machine.heard_at <= OVERDUE * self.report_s
+            if heard and not machine.relayed:
                 self.desk.sessions.ignored(machine, 1, now)
             return
         if self._outranked(message.report, now):
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -441,8 +441,11 @@
                 patience = min(until, self.others_until) - self.term_from + LOST_TOGETHER * self.lease_s
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
-        if machine.deaf_since is not None and now - machine.deaf_since > patience:
-            return "it does not hear us"
+        if machine.deaf_since is not None:
+            # Its replicas go on until its lease is over; all else is better off elsewhere at once.
+            lasting = LOST_TOGETHER * self.lease_s if machine.replicas else 0.0
+            if now - machine.deaf_since > max(patience, lasting):
+                return "it does not hear us"
         if not booted and now - machine.born_at > BOOT * machine.kind.boot_s:
             return "it never came up"
         if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -7,9 +7,13 @@
 import msgspec
 import pytest
 
+from ladderfield.fleet.cloud import Cloud
+from ladderfield.foreman.actor import Foreman, Pushed
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
+from ladderfield.leadership import Term
 from ladderfield.queues.work import Claim
+from ladderfield.state import StateClient, View
 from ladderfield.testing import job, settings
 from ladderfield.workers.machine import UNKNOWN, Machine
 from ladderfield.workers.report import Report, parse_report
@@ -155,3 +159,16 @@
         one.machines[host].fresh_at = 29.0
     assert one.sweep(29.0) == ["a"]
     assert one.sweep(29.7) == ["a", "b"], "most of a lease after the earlier foreman's time"
+
+
+async def test_calls_that_fail_tell_of_deafness_only_where_reports_come_straight() -> None:
+    """A foreman that no worker can reach: others carry the reports, and its own calls fail everywhere."""
+    own = settings()
+    client = StateClient(own)
+    foreman = Foreman(own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own))
+    machine = foreman.desk.machines["m"] = Machine("m", "10.9.0.1:90", UNKNOWN, "za", False, 0.0)
+    for heard_at, relayed, deaf_then in ((80.0, False, False), (100.0, True, False), (100.0, False, True)):
+        machine.heard_at, machine.relayed = heard_at, relayed
+        for _ in range(3):
+            foreman._on_pushed(Pushed("m", [], False, None), 100.0)
+        assert (machine.deaf_since is not None) == deaf_then
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -691,3 +691,18 @@
         other = await whole.submit(uid="req-000002", rungs=8)
         await whole.until(0, other, "done", 60)
         assert whole.foreman() == first and whole.controllers[first].leadership.known_epoch() == 1
+
+
+async def test_a_foreman_that_no_worker_can_reach_gives_no_machine_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Others carry the reports; that its own calls fail says nothing about the machines."""
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=4)
+        await whole.busy(uid)
+        await trio.sleep(3)
+        first = whole.foreman()
+        host = f"10.0.0.{first + 1}"
+        whole.net.cut_ports.add((host, 80))
+        whole.net.cut_ports.update((worker.address, 90) for worker in whole.cloud.workers.values())
+        await trio.sleep(60)
+        assert whole.foreman() == first
+        assert len(whole.starts(uid)) == 4 and sum(whole.on().values()) == 4
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -74,6 +74,7 @@
         self.nursery = nursery
         self.serving: dict[tuple[str, int], Callable[[Any], Awaitable[None]]] = {}
         self.cut: set[str] = set()
+        self.cut_ports: set[tuple[str, int]] = set()  # the same for single ports
 
     def listen(self, text: str, serve: Callable[[Any], Awaitable[None]]) -> None:
         """Somebody answers at an address."""
@@ -86,7 +87,7 @@
 
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
         """Stands for ``ladderfield.http.connect``."""
-        if host in self.cut:
+        if host in self.cut or (host, port) in self.cut_ports:
             await trio.sleep_forever()
         if (host, port) not in self.serving:
             raise OSError("refused")
