--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -240,10 +240,16 @@
         """Have a claim's task stopped; one whose launch never went out ends here."""
         if claim.stopping is None:
             claim.stopping = why
-            if claim.sent_tenure is None and not claim.inherited:
+            machine = self.machines[claim.host]
+            if self.unsent(claim, machine):
                 self.end(claim, False, now)
             else:
-                self.push(self.machines[claim.host])
+                self.push(machine)
+
+    @staticmethod
+    def unsent(claim: Claim, machine: Machine) -> bool:
+        """Whether no launch of it is out anywhere, so that it can end here and now."""
+        return claim.sent_tenure is None and not claim.inherited and claim.attempt not in machine.doubts
 
     # -- scheduling --------------------------------------------------------------------------------------------
 
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -93,7 +93,7 @@
         if lost:
             self.ignored(machine, 1, now)
         if machine.deaf_since is not None:
-            for claim in [one for one in machine.claims.values() if one.sent_tenure is None and not one.inherited]:
+            for claim in [one for one in machine.claims.values() if desk.unsent(one, machine)]:
                 desk.end(claim, False, now)
         return machine
 
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -172,3 +172,19 @@
         for _ in range(3):
             foreman._on_pushed(Pushed("m", [], False, None), 100.0)
         assert (machine.deaf_since is not None) == deaf_then
+
+
+def test_a_claim_whose_launch_may_still_arrive_does_not_end_on_a_deaf_machine_or_by_a_stop() -> None:
+    stage = Stage()
+    stage.submit(rungs=1)
+    stage.report()
+    stage.record()
+    machine = stage.machine()
+    (order,) = stage.desk.sessions.orders(machine, 1.0, None)
+    stage.desk.sessions.orders(machine, 9.0, None)
+    stage.desk.sessions.answered(machine, [order["try"]], False)
+    assert machine.doubts == {order["try"]: 1}, "one copy was refused, the other is still out"
+    stage.desk.sessions.ignored(machine, 2, 9.0)
+    stage.report(now=10.0)
+    stage.desk.stop(machine.claims["req-000001", 0], "cancelled", 10.0)
+    assert machine.claims
