--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -22,8 +22,7 @@
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
 REFUSED_MOST = 20.0  # of report_s
 LINGER = 0.7  # of the time to bring an equal machine back (boot, image): so long it may idle before it is returned
-HORIZON = 1.0  # of a type's boot time: array tasks that get room within this by themselves need no new machine
-OURS = 0.5  # of what running tasks give back: the rest goes to work that is still to come
+OURS = 1 / 3  # of what running tasks give back later than a boot takes: the rest goes to work that is still to come
 LINGER_AMPLE = 0.15  # the same while there is ample room
 AMPLE = 1.2  # of the cpus asked for lately
 RECENT = 8.0  # of report_s: what counts as lately
@@ -274,10 +273,12 @@
                         tasks = 0  # a later plan sees to the rest; nothing dearer is taken for it meanwhile
                         break
                     kind = desk.types[offer[0]]
-                    horizon = HORIZON * kind.boot_s
+                    turnover = plan.turnover(spec, job.shape)
+                    free = soon = turnover.starts(kind.boot_s, run)
                     if not spot:
-                        horizon = max(horizon, PATIENCE * desk.outlook.slack(job, now))
-                    if ahead <= OURS * plan.turnover(spec, job.shape).starts(horizon, run):
+                        patience = PATIENCE * desk.outlook.slack(job, now)
+                        free += OURS * max(0.0, turnover.starts(patience, run) - soon)
+                    if ahead <= free:
                         break
                     placed = plan.add(offer, kind).place(spec, tasks, free_only=True)
                     if not placed:
