A cancelled job stays known after a takeover while a claim of it binds

Its task ran on in a zone that was cut off, and no machine was deleted for it at half of cancel_s. Ruled out: the cloud, the patience with earlier foremen's zones (the check for cancelled tasks comes whatever the patience). Change: what is over is decided when the claims are in; and no job's record is deleted while a claim of it binds. The test fails without either.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -104,6 +104,7 @@
         for claim in claims.values():
             if claim.index not in claim.job.finished:
                 self._inherit(claim, now)
+        self.over.clear()  # the finals came before the claims
         for job in self.jobs.values():
             self._see_end(job)
 
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -115,7 +115,7 @@
         self.desk.pages.dirty.discard(page)
 
     def _clear(self, txn: Txn, job: Job) -> None:
-        if txn.left < 1:
+        if txn.left < 1 or job.claims:  # while anything of it may run, it has to be known, and known to be cancelled
             return
         txn.guards[JOB + job.uid] = job.stamp
         txn.deletes.append(JOB + job.uid)
--- a/ladderfield/foreman/test_pages.py
+++ b/ladderfield/foreman/test_pages.py
@@ -113,6 +113,9 @@
 def test_a_cancelled_jobs_claims_bind_until_they_are_gone() -> None:
     stage = taken_over({"a": {"1": [99, "m"]}}, finals={"req-000001": {"phase": "cancelled", "at": 995.0}})
     assert binding(stage) == {1: 99}
+    stage.record()
+    assert "req-000001" in stage.desk.jobs, "hunted day, ran_cancelled: it was cleared away with its task still on"
+    assert stage.desk.sweep(11.0) == ["m"], "and half of cancel_s after its user was told, the machine goes"
     (order,) = stage.report("m", (rung(1, 99),))
     assert order["verb"] == "stop"
     stage.report("m", (rung(1, 99, "exited", "stopped"),))
