--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -1,28 +1,26 @@
 """What to rent and what to return; a pure decision over the foreman's tables.
 
-Services get room of their own, and some is kept for those that will come while a machine boots. Array tasks are
-seen as a stream: what would get room in time as running tasks end needs no new machine; in time is a boot's time for
-spot machines, and as long as the jobs may wait for dear ones.
+Services get room of their own, and some is kept for those that will come while a machine boots. Array work is
+seen as a stream: machines are rented until what waits and runs flows off within a horizon, a short one for spot
+machines, a long one (as long as the jobs may wait) for dear ones. The same horizons say what may be returned.
 """
 
 from __future__ import annotations
 
 import math
-from bisect import bisect_right
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
-from itertools import accumulate
 
 from ladderfield.fleet.cloud import RENT_MOST
 from ladderfield.foreman.desk import Desk
 from ladderfield.jobs.model import JobSpec, MachineType, fits
-from ladderfield.queues.work import Claim, Job, Shape
+from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import SLACK, Machine
 
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
 REFUSED_MOST = 20.0  # of report_s
 LINGER = 0.7  # of the time to bring an equal machine back (boot, image): so long it may idle before it is returned
-OURS = 1 / 3  # of what running tasks give back later than a boot takes: the rest goes to work that is still to come
+HORIZON = 0.6  # of a type's boot time: array work should flow off spot and present machines within this
 LINGER_AMPLE = 0.15  # the same while there is ample room
 AMPLE = 1.2  # of the cpus asked for lately
 RECENT = 8.0  # of report_s: what counts as lately
@@ -48,13 +46,13 @@
 
     __slots__ = (
         "cpus",
+        "for_arrays",
         "gpus",
         "host",
         "idle",
         "images",
         "kind",
         "lower",
-        "machine",
         "memory_gb",
         "needed",
         "spot",
@@ -68,7 +66,6 @@
         assert source is not None
         self.cpus, self.gpus, self.memory_gb = source.cpus, source.gpus, source.memory_gb
         self.host, self.needed = None, False
-        self.machine = machine
         self.images: Collection[str] = ()
         self.lower = [0.0, 0.0, 0.0]  # what tasks hold that would give way to a service
         if machine is None:
@@ -78,6 +75,7 @@
             self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
             self.images = machine.cached
             self.lower = list(machine.soft)
+        self.for_arrays = self.cpus + self.lower[0]
         self.idle = machine is not None and not machine.claims
 
     def allows(self, spec: JobSpec) -> bool:
@@ -102,6 +100,8 @@
         self.memory_gb -= placed * spec.memory_gb
         if placed:
             self.needed = True
+            if not free_only:
+                self.for_arrays -= placed * spec.cpus
         return placed
 
 
@@ -114,39 +114,15 @@
     return max(0, most)
 
 
-def makes_room(ends: JobSpec, spec: JobSpec) -> bool:
-    """Whether the end of one task lets another begin: room in smaller pieces is taken by smaller tasks."""
-    enough = ends.cpus >= spec.cpus and ends.memory_gb >= spec.memory_gb and ends.gpus >= spec.gpus
-    return enough and not ends.service
-
-
-class Turnover:
-    """What running tasks give back, and when. New machines for tasks that would get room sooner that way are wasted."""
-
-    def __init__(self, ending: Iterable[tuple[float, float]]) -> None:
-        ends = sorted(ending)
-        self._at = [at for at, _ in ends]
-        self._cpus = list(accumulate(cpus for _, cpus in ends))
-        self._cpu_s = list(accumulate(at * cpus for at, cpus in ends))
-
-    def starts(self, within: float, run_s: float) -> float:
-        """The cpus of tasks of so long a run that can start within this time, one after the other."""
-        count = bisect_right(self._at, within)
-        if not count:
-            return 0.0
-        return self._cpus[count - 1] * (1 + within / run_s) - self._cpu_s[count - 1] / run_s
-
-
 class Plan:
     """All rooms, sorted by shape of task once a plan, so that a job looks only at those that may still take it."""
 
-    def __init__(self, rooms: Iterable[Room], left: Callable[[Claim], float]) -> None:
+    def __init__(self, rooms: Iterable[Room]) -> None:
         self.rooms = list(rooms)
         self.planned: dict[Offer, int] = {}
         self._services: dict[Shape, list[Room]] = {}
         self._arrays: dict[Shape, list[Room]] = {}
-        self._left = left  # how long a running task still takes
-        self._turnover: dict[Shape, Turnover] = {}
+        self._array_cpus: dict[Shape, float] = {}
         self._specs: dict[Shape, JobSpec] = {}
 
     def for_service(self, spec: JobSpec, shape: Shape) -> Iterator[Room]:
@@ -169,15 +145,12 @@
         rooms = self._arrays[shape] = [room for room in rooms if room.takes(spec, NOTHING)]
         return rooms
 
-    def turnover(self, spec: JobSpec, shape: Shape) -> Turnover:
-        """When what array tasks hold now comes free, on machines that the job allows."""
-        if shape not in self._turnover:
-            machines = [room.machine for room in self.rooms if room.machine and room.allows(spec)]
-            claims = [claim for machine in machines for claim in machine.claims.values()]
-            self._turnover[shape] = Turnover(
-                (self._left(claim), spec.cpus) for claim in claims if makes_room(claim.job.spec, spec)
-            )
-        return self._turnover[shape]
+    def cpus_for_arrays(self, spec: JobSpec, shape: Shape) -> float:
+        """What all machines that the job allows have for array work. Asked for while arrays are planned, when the
+        services have their room already and only new machines add to it."""
+        if shape not in self._array_cpus:
+            self._array_cpus[shape] = sum(room.for_arrays for room in self.rooms if room.allows(spec))
+        return self._array_cpus[shape]
 
     def may_add(self, offer: Offer) -> bool:
         """Whether the plan goes on with these. What one round of hires can't bring is for the next plan to weigh."""
@@ -193,6 +166,8 @@
                 for table in (self._services, self._arrays):
                     if shape in table:
                         table[shape].append(room)
+                if shape in self._array_cpus:
+                    self._array_cpus[shape] += room.for_arrays
         return room
 
 
@@ -218,14 +193,13 @@
     def rentals(self, now: float) -> list[Rental]:
         """What to ask for now, given what is up and under way."""
         desk = self.desk
-        rooms = [
+        plan = Plan(
             Room(machine)
             for machine in desk.machines.values()
             if not (machine.deleting or machine.sick or machine.deaf_since is not None)
             and machine.recall_at is None
             and machine.kind.cpus
-        ]
-        plan = Plan(rooms, lambda claim: self.left(claim, now))
+        )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
         self._services([job for job in jobs if job.spec.service], plan, now)
@@ -256,42 +230,37 @@
             need -= placed
 
     def _arrays(self, jobs: list[Job], plan: Plan, now: float) -> None:
-        """Array tasks take free room, then what comes free in time by itself; machines are rented for the rest."""
         desk = self.desk
-        ahead = 0.0  # cpus of the tasks that wait for room to come free, in order
+        load = sum(self._remaining(job, now) for job in desk.jobs.values() if job.claims and not job.spec.service)
         for job in jobs:
             spec, run = job.spec, desk.outlook.run_s(job)
             tasks = min(job.waiting, desk.teams.room(spec))
+            load += tasks * spec.cpus * run
             for room in plan.for_array(spec, job.shape):
                 if tasks <= 0:
                     break
                 tasks -= room.place(spec, tasks, free_only=True)
-            ahead += tasks * spec.cpus
             for spot in (True, False) if spec.spot else (False,):
                 while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)):
                     if not plan.may_add(offer):
                         tasks = 0  # a later plan sees to the rest; nothing dearer is taken for it meanwhile
                         break
                     kind = desk.types[offer[0]]
-                    turnover = plan.turnover(spec, job.shape)
-                    free = soon = turnover.starts(kind.boot_s, run)
+                    horizon = HORIZON * kind.boot_s
                     if not spot:
-                        patience = PATIENCE * desk.outlook.slack(job, now)
-                        free += OURS * max(0.0, turnover.starts(patience, run) - soon)
-                    if ahead <= free:
+                        horizon = max(horizon, PATIENCE * desk.outlook.slack(job, now))
+                    if load <= horizon * plan.cpus_for_arrays(spec, job.shape):
                         break
                     placed = plan.add(offer, kind).place(spec, tasks, free_only=True)
                     if not placed:
                         break
                     tasks -= placed
-                    ahead -= placed * spec.cpus
-
-    def left(self, claim: Claim, now: float) -> float:
-        """How long a running task still takes; one that overstays its estimate takes some more."""
-        if claim.stopping is not None:
-            return 0.0
-        run = self.desk.outlook.run_s(claim.job)
-        return max(run - (0.0 if claim.running_at is None else now - claim.running_at), run / 4)
+
+    def _remaining(self, job: Job, now: float) -> float:
+        """The cpu-seconds that a job's running tasks still need; one that overstays its estimate needs some more."""
+        run = self.desk.outlook.run_s(job)
+        begun = (0.0 if claim.running_at is None else now - claim.running_at for claim in job.claims.values())
+        return job.spec.cpus * sum(max(run - ran, run / 4) for ran in begun)
 
     def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
         """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
