--- a/ladderfield/budget.py
+++ b/ladderfield/budget.py
@@ -27,12 +27,14 @@
         self._refill()
         return int(self._level)
 
+    def delay(self, amount: float = 1.0) -> float:
+        """How long it would take until so much could be taken."""
+        self._refill()
+        return max(0.0, (amount - self._level) / self.rate)
+
     async def ready(self, amount: float) -> None:
         """Wait until so much can be taken at once."""
-        self._refill()
-        wait = (min(amount, self._most) - self._level) / self.rate
-        if wait > 0:
-            await trio.sleep(wait)
+        await trio.sleep(self.delay(min(amount, self._most)))
 
     async def take(self, amount: float = 1.0, patience: float = float("inf"), urgent: bool = False) -> bool:
         """Take tokens, waiting if need be; False at once if the wait would exceed the caller's patience."""
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -19,7 +19,7 @@
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
 from ladderfield.queues.pick import Queues, Tier, tiers
-from ladderfield.queues.work import Claim, Job, Shape, Share, TaskId, task_name
+from ladderfield.queues.work import Claim, Job, Record, Shape, Share, TaskId, task_name
 from ladderfield.settings import Settings
 from ladderfield.state import Change
 from ladderfield.teams import Teams
@@ -77,7 +77,7 @@
         self.unrecorded: dict[Claim, None] = {}
         self.unsettled: dict[Job, None] = {}
         self.complete: dict[Job, None] = {}
-        self.over: dict[Job, None] = {}
+        self.spent: dict[Record, None] = {}
         self.changed = True  # something since the last pass could let a task start
         self.firsts, self.eldest = Share(), Share()  # room for jobs that have waited for long
         self._attempts = 0
@@ -91,12 +91,13 @@
     def load(self, data: dict[str, tuple[Any, int]], now: float) -> None:
         """Rebuild everything from the state service's keys: a takeover."""
         self.types = parse_types((data.get(TYPES) or (None, 0))[0])
-        jobs = [pair for key, pair in data.items() if key.startswith(JOB)]
-        for value, stamp in sorted(jobs, key=lambda pair: pair[0]["at"]):
-            self._add_job(value, stamp)
+        for key, (value, stamp) in data.items():
+            if key.startswith(JOB):
+                self._add_jobs(key, value, stamp)
+        self.jobs = dict(sorted(self.jobs.items(), key=lambda pair: pair[1].at))
         for key, (value, _) in data.items():
             if key.startswith(FINAL):
-                self._finalised(key, value, now)
+                self._finalised(key, value, now, loading=True)
         claims: dict[TaskId, Claim] = {}
         for key, (value, stamp) in data.items():
             if key.startswith(PAGE):
@@ -104,8 +105,8 @@
         for claim in claims.values():
             if claim.index not in claim.job.finished:
                 self._inherit(claim, now)
-        self.over.clear()  # the finals came before the claims
-        for job in self.jobs.values():
+        for job in list(self.jobs.values()):
+            job.told = job.final is not None
             self._see_end(job)
 
     def _load_page(self, page: Page, value: dict[str, Any], claims: dict[TaskId, Claim]) -> None:
@@ -151,19 +152,37 @@
         if job.final is None:
             if job.complete:
                 self.complete[job] = None
-        elif not job.claims:
-            self.over[job] = None
-
-    def _add_job(self, value: Any, stamp: int) -> None:
-        spec = msgspec.convert(value["spec"], JobSpec)
-        if spec.uid not in self.jobs:
-            job = self.jobs[spec.uid] = Job(spec, value["at"] - self.wall_offset, value["block"], stamp)
-            self.outlook.arrived(job)
-            self.changed = True
+        elif job.told and not job.claims and self.jobs.pop(job.uid, None) is not None:
+            # While anything of it may run it has to be known, and known to be cancelled; and another record that names
+            # it can't come any more.
+            log.info("job %s: %s and off all machines", job.uid, job.final)
+            self.cancelled_at.pop(job.uid, None)
+            for record in job.records:
+                record.live.discard(job.uid)
+                if not record.live:
+                    self.spent[record] = None
+
+    def _add_jobs(self, key: str, value: Any, stamp: int) -> None:
+        """A record of accepted jobs. One that a job has been on twice is known already."""
+        record = Record(key, stamp)
+        for uid, entry in value["jobs"].items():
+            job = self.jobs.get(uid)
+            if job is None:
+                spec = msgspec.convert(entry["spec"], JobSpec)
+                job = self.jobs[uid] = Job(spec, entry["at"] - self.wall_offset, entry["block"])
+                self.outlook.arrived(job)
+                self.changed = True
+            if all(one.key != key for one in job.records):
+                job.records.append(record)
+                record.live.add(uid)
 
-    def _finalised(self, key: str, value: Any, now: float) -> None:
+    def _finalised(self, key: str, value: Any, now: float, loading: bool = False) -> None:
         job = self.jobs.get(key.removeprefix(FINAL))
-        if job is None or job.final is not None:
+        if job is None:
+            return
+        job.told = not loading  # its claims are yet to be read then
+        if job.final is not None:
+            self._see_end(job)
             return
         if value["phase"] == CANCELLED:
             self.cancelled_at[job.uid] = value.get("at", self.wall_offset + self.term_from) - self.wall_offset
@@ -181,20 +200,15 @@
         self.pages.over(job)
         self._see_end(job)
 
-    def drop_job(self, job: Job) -> None:
-        """The job's record is deleted."""
-        self.over.pop(job, None)
-        self.jobs.pop(job.uid, None)
-        self.cancelled_at.pop(job.uid, None)
-
     def take_changes(self, changes: Iterable[Change], now: float) -> None:
         """Changes made by other controllers' front doors (and our own)."""
+        changes = [change for change in changes if change.value is not None]
         for change in changes:
-            if change.value is None:
-                continue
+            # First of all, as a batch that was read anew is not in the order of time: an end must find its job.
             if change.key.startswith(JOB):
-                self._add_job(change.value, change.stamp)
-            elif change.key.startswith(FINAL):
+                self._add_jobs(change.key, change.value, change.stamp)
+        for change in changes:
+            if change.key.startswith(FINAL):
                 self._finalised(change.key, change.value, now)
             elif change.key == TYPES:
                 self.types = parse_types(change.value)
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -12,9 +12,9 @@
 
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.pages import JOB_BYTES, TASK_BYTES, Page, encoded_size
-from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL
 from ladderfield.leadership import EPOCH
-from ladderfield.queues.work import Claim, Job
+from ladderfield.queues.work import Claim, Job, Record
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +33,7 @@
         self.deletes: list[str] = []
         self.pages: dict[Page, tuple[list[Claim], dict[Job, set[int]]]] = {}
         self.finals: list[Job] = []  # jobs that are called done here
-        self.ended: list[Job] = []  # jobs whose record is deleted here
+        self.ended: list[Record] = []  # records that are deleted here
         self.size = 0
 
     @property
@@ -74,8 +74,10 @@
         if desk.unrecorded or (ends and (finished_too or txn.ops)):
             self._fill(txn, ends)
         if finished_too or txn.ops:
-            for job in [*txn.finals, *desk.over]:
-                self._clear(txn, job)
+            for record in list(desk.spent)[: txn.left]:
+                txn.guards[record.key] = record.stamp
+                txn.deletes.append(record.key)
+                txn.ended.append(record)
         if finished_too:
             for page in list(desk.pages.dirty):
                 self._write(txn, page)
@@ -114,13 +116,6 @@
         page.dirty = page.owing = False
         self.desk.pages.dirty.discard(page)
 
-    def _clear(self, txn: Txn, job: Job) -> None:
-        if txn.left < 1 or job.claims:  # while anything of it may run, it has to be known, and known to be cancelled
-            return
-        txn.guards[JOB + job.uid] = job.stamp
-        txn.deletes.append(JOB + job.uid)
-        txn.ended.append(job)
-
     def applied(self, txn: Txn, ledger: int) -> None:
         """The transaction is on record."""
         desk = self.desk
@@ -136,10 +131,8 @@
         for job in txn.finals:
             log.info("job %s: done", job.uid)
             desk.finalised(job, DONE)
-        for job in txn.ended:
-            if job not in txn.finals:
-                log.info("job %s: %s and off all machines", job.uid, job.final)
-            desk.drop_job(job)
+        for record in txn.ended:
+            desk.spent.pop(record, None)
 
     def restamp(self, txn: Txn, stamps: dict[str, int]) -> None:
         """Guards failed because an earlier copy of a transaction was applied after all: take the versions on record
@@ -152,8 +145,7 @@
                 # Cancelled at the last moment, or done by our own earlier copy. Either way it is final; the view
                 # will say which, and all that is left here is to clear the job away.
                 self.desk.finalised(job, CANCELLED)
-        for job in txn.ended:
-            if JOB + job.uid in stamps:
-                job.stamp = stamps[JOB + job.uid]
-                if job.stamp == 0:
-                    self.desk.drop_job(job)
+        for record in txn.ended:
+            record.stamp = stamps.get(record.key, record.stamp)
+            if record.stamp == 0:
+                self.desk.spent.pop(record, None)
--- a/ladderfield/foreman/pages.py
+++ b/ladderfield/foreman/pages.py
@@ -16,11 +16,10 @@
 from typing import Any
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import page_key
+from ladderfield.jobs.model import FULL, page_key
 from ladderfield.queues.work import Claim, Job, ranges
 
 HOSTS = "hosts"  # no job is called that
-FULL = 15 / 16  # of the state service's limit on a value
 CLAIM_BYTES, TASK_BYTES, JOB_BYTES = 72, 16, 48  # the most that one takes in a page, names apart
 
 
--- /dev/null
+++ b/ladderfield/jobs/accept.py
@@ -0,0 +1,156 @@
+"""Putting accepted jobs on record: jobs that arrive while a write is under way share the next one.
+
+The state service counts changes, not bytes, and a front door has only a small share of them. So one record takes all
+that has gathered (group commit): there is no timer, and a job that finds nothing under way is written at once. The
+record is named after its first job, whose retry elsewhere therefore finds it; any other job of it may stand on two
+records after a retry at another door. That is harmless: both say the same, the job counts once, and a record is deleted
+only when all of its jobs are over. A late copy is harmless too: each job's final state guards the write.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from typing import Any
+
+import trio
+
+from ladderfield.http import encode
+from ladderfield.jobs.model import FINAL, FULL, JOB
+from ladderfield.settings import Settings
+from ladderfield.state import Change, StateClient, Unavailable, View
+
+log = logging.getLogger(__name__)
+
+GUARDS = 4  # the protocol: so many conditions for each change that a transaction may hold
+ANSWER = 0.25  # of the time a user waits: how long one write may take
+PATIENCE = 0.2  # of it: who would wait longer for a turn is told at once to come back
+PAUSE = 0.02  # of it: before the same is tried again
+HOPEFUL = 0.2  # of it: the state service answered within this, so asking again may help
+
+
+class Register:
+    """Which jobs are accepted, and on which records they stand; follows the view change by change."""
+
+    def __init__(self, view: View) -> None:
+        self._records: dict[str, list[str]] = {}  # record -> jobs
+        self._of: dict[str, list[str]] = {}  # job -> records
+        view.followers.append(self._take)
+
+    def __contains__(self, uid: str) -> bool:
+        return uid in self._of
+
+    def _take(self, change: Change) -> None:
+        if not change.key.startswith(JOB):
+            return
+        for uid in self._records.pop(change.key, ()):
+            self._of[uid].remove(change.key)
+            if not self._of[uid]:
+                del self._of[uid]
+        if change.value is not None:
+            uids = self._records[change.key] = list(change.value["jobs"])
+            for uid in uids:
+                self._of.setdefault(uid, []).append(change.key)
+
+
+class Wanted:
+    """A job that is to be put on record, and what became of it."""
+
+    __slots__ = ("done", "known_at", "record", "size", "uid")
+
+    def __init__(self, uid: str, record: dict[str, Any]) -> None:
+        self.uid, self.record = uid, record
+        self.size = len(encode(record)) + len(uid) + 4
+        self.done = trio.Event()
+        # None: not on record by us; 0: it is; else the revision by which something on record speaks of it already.
+        self.known_at: int | None = None
+
+
+class Acceptor:
+    """The one writer of a front door's submissions."""
+
+    def __init__(self, settings: Settings, client: StateClient, view: View, register: Register, wait_s: float) -> None:
+        self.client, self.view, self.register, self.wait_s = client, view, register, wait_s
+        state = settings.cluster.state
+        self.most_bytes = state.value_kb * 1024 * FULL
+        self.most_jobs = GUARDS * state.txn_ops - 1
+        self._waiting: OrderedDict[str, Wanted] = OrderedDict()
+        self._some = trio.Event()
+
+    async def accept(self, uid: str, record: dict[str, Any], until: float) -> Wanted:
+        """Have a job recorded; who asked for the same job meanwhile shares the answer. ``done`` may not be set when
+        the time is over: then it is not known whether the job is on record, and the user has to ask again."""
+        wanted = self._waiting.get(uid)
+        if wanted is None:
+            wanted = Wanted(uid, record)
+            if self._turn_in() > self.wait_s * PATIENCE:
+                wanted.done.set()
+                return wanted
+            self._waiting[uid] = wanted
+            self._some.set()
+        with trio.move_on_at(until):
+            await wanted.done.wait()
+        if not wanted.done.is_set() and self._waiting.get(uid) is wanted:
+            del self._waiting[uid]
+        return wanted
+
+    def _turn_in(self) -> float:
+        """How long a job that comes now would wait until it is written."""
+        ahead = sum(wanted.size for wanted in self._waiting.values()) / self.most_bytes
+        return self.client.writes.delay(1 + ahead)
+
+    async def run(self) -> None:
+        """Write for ever."""
+        while True:
+            await self._some.wait()
+            await self.client.writes.take()
+            await self.client.calls.take(urgent=True)  # counted; the writes were waited for
+            batch = self._next()
+            if batch:
+                await self._write(batch)
+            if not self._waiting:
+                self._some = trio.Event()
+
+    def _next(self) -> list[Wanted]:
+        """The eldest that fit one record."""
+        batch: list[Wanted] = []
+        size = 64.0
+        for wanted in self._waiting.values():
+            if len(batch) >= self.most_jobs or (batch and size + wanted.size > self.most_bytes):
+                break
+            batch.append(wanted)
+            size += wanted.size
+        return batch
+
+    async def _write(self, batch: list[Wanted]) -> None:
+        key = JOB + batch[0].uid
+        guards = {key: 0} | {FINAL + wanted.uid: 0 for wanted in batch}
+        value = {"jobs": {wanted.uid: wanted.record for wanted in batch}}
+        try:
+            outcome = await self.client.commit(guards, {key: value}, [], self.wait_s * ANSWER)
+        except Unavailable as error:
+            log.debug("%d jobs not written yet: %s", len(batch), error)
+            if trio.current_time() - self.client.answered_at < self.wait_s * HOPEFUL:
+                await trio.sleep(self.wait_s * PAUSE)
+            else:
+                # Nobody can be served now; all are told at once to come back.
+                for wanted in list(self._waiting.values()):
+                    self._answer(wanted, None)
+            return
+        if outcome.failed is None:
+            for wanted in batch:
+                self._answer(wanted, 0)
+            return
+        # Some are known: decided already, or written by an earlier copy of this very write or by another door. The
+        # others are written anew.
+        with trio.move_on_after(self.wait_s * ANSWER):
+            await self.view.reach(outcome.ledger)
+        for wanted in batch:
+            if FINAL + wanted.uid in outcome.failed or key == JOB + wanted.uid or wanted.uid in self.register:
+                self._answer(wanted, outcome.ledger)
+
+    def _answer(self, wanted: Wanted, known_at: int | None) -> None:
+        wanted.known_at = known_at
+        wanted.done.set()
+        if self._waiting.get(wanted.uid) is wanted:
+            del self._waiting[wanted.uid]
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -16,10 +16,10 @@
 import trio
 
 from ladderfield.http import Reply, Request
+from ladderfield.jobs.accept import Acceptor, Register
 from ladderfield.jobs.model import (
     CANCELLED,
     FINAL,
-    JOB,
     TYPES,
     Malformed,
     block_size,
@@ -50,7 +50,9 @@
         self.state_ok = True  # whether the state service serves us; kept by the controller's health check
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.block = block_size(settings.cluster.state.value_kb)
-        # Each stage is small and tells those it can't take at once; a second's share of the writes may wait.
+        # Each stage is small and tells those it can't take at once.
+        self.register = Register(view)
+        self.acceptor = Acceptor(settings, client, view, self.register, SUBMIT_S)
         self.room = max(4, int(settings.cluster.quota.max_connections / 16))
         self.busy = 0
         self._types: tuple[int, dict] = (-1, {})
@@ -112,7 +114,7 @@
             return final
         kinds = self.types()
         why = impossible(spec, kinds, self.teams) if kinds else "unknown types"
-        if self.view.get(JOB + uid) is not None or why is not None:
+        if uid in self.register or why is not None:
             # Known already, or to be refused: both need the proof that nothing newer says otherwise.
             if not await self.view.fresh(SUBMIT_S * SPARE):
                 return busy(1)
@@ -125,32 +127,17 @@
                 return Reply(422, {"error": why})
         record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
         until = trio.current_time() + SUBMIT_S * SPARE
-        guards = {JOB + uid: 0, FINAL + uid: 0}
-        while trio.current_time() < until:
-            if not await self.client.writes.take(patience=SUBMIT_S / 5):
-                return busy(1)
-            await self.client.calls.take(urgent=True)  # counted; the writes were waited for
-            try:
-                outcome = await self.client.commit(guards, {JOB + uid: record}, [], SUBMIT_S * SPARE / 3)
-            except Unavailable as error:
-                log.debug("job %s: not written yet: %s", uid, error)
-                if not self._hopeful():
-                    return busy(1)
-                await trio.sleep(SUBMIT_S / 50)
-                continue
+        wanted = await self.acceptor.accept(uid, record, until)
+        if wanted.known_at == 0:
+            log.info(
+                "job %s: accepted, %s of %s, %d tasks, expects %.0f s, due %s",
+                uid, spec.job_class, spec.team, spec.tasks, spec.estimate_s, spec.deadline_s,
+            )  # fmt: skip
+            return Reply(201, {"uid": uid, "phase": "queued"})
+        if wanted.known_at:
             with trio.move_on_at(until):
-                await self.view.reach(outcome.ledger)
-                if outcome.failed is None:
-                    log.info(
-                        "job %s: accepted, %s of %s, %d tasks, expects %.0f s, due %s",
-                        uid, spec.job_class, spec.team, spec.tasks, spec.estimate_s, spec.deadline_s,
-                    )  # fmt: skip
-                    return Reply(201, {"uid": uid, "phase": "queued"})
-                known = self._state(uid)
-                if known is not None:
-                    return known
-            if outcome.failed is None:
-                return Reply(201, {"uid": uid, "phase": "queued"})
+                await self.view.reach(wanted.known_at)
+                return self._state(uid) or busy(1)
         return busy(1)
 
     def _hopeful(self) -> bool:
@@ -167,8 +154,7 @@
         """The job's state in the view, or None if it isn't there."""
         if (final := self._final(uid)) is not None:
             return final
-        job = self.view.get(JOB + uid)
-        if job is None:
+        if uid not in self.register:
             return None
         done = set[int]()
         claimed = set[str]()
@@ -200,13 +186,13 @@
         while trio.current_time() < until:
             if (final := self._final(uid)) is not None:
                 return final
-            if self.view.get(JOB + uid) is None:
+            if uid not in self.register:
                 if not await self.view.fresh(until - trio.current_time()):
                     return busy(1)
                 if self._state(uid) is None:
                     return Reply(404, {"error": "no such job"})
                 continue
-            guards = {JOB + uid: self.view.stamp(JOB + uid), FINAL + uid: 0}
+            guards = {FINAL + uid: 0}  # once accepted it is known for good
             if not await self.client.writes.take(patience=SUBMIT_S / 3):
                 return busy(1)
             try:
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -11,7 +11,7 @@
 
 from ladderfield.settings import Team
 
-JOB = "lf/j/"  # the accepted job; deleted once it is over and nothing of it is on any machine
+JOB = "lf/j/"  # accepted jobs, named after the first; deleted once all are over and nothing of them is on any machine
 FINAL = "lf/f/"  # its final state; kept for good
 PAGE = "lf/p/"  # claims and finished ranges, of many jobs in one record
 TYPES = "lf/types"
@@ -19,6 +19,7 @@
 PRODUCTION, URGENT, STANDARD, BEST_EFFORT = "production", "urgent", "standard", "best_effort"
 RANKS = {PRODUCTION: 0, URGENT: 1, STANDARD: 2, BEST_EFFORT: 3}
 DONE, CANCELLED = "done", "cancelled"
+FULL = 15 / 16  # of the state service's limit on a value: what a record of ours may hold
 BYTES_PER_TASK = 64  # about what a claim takes on record
 
 _UID = re.compile(r"req-[0-9]{1,18}\Z")
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -84,6 +84,16 @@
         return (self.job.uid, self.index)
 
 
+class Record:
+    """A key on which accepted jobs stand; it may go once none of them lives."""
+
+    __slots__ = ("key", "live", "stamp")
+
+    def __init__(self, key: str, stamp: int) -> None:
+        self.key, self.stamp = key, stamp
+        self.live: set[str] = set()  # jobs that are not over, or not off all machines
+
+
 class Job:
     """An accepted job that is not yet over, or whose claims still bind."""
 
@@ -102,18 +112,21 @@
         "not_before",
         "order",
         "queued",
+        "records",
         "shape",
         "spec",
-        "stamp",
+        "told",
         "uid",
         "undealt",
         "unsettled",
         "zones",
     )
 
-    def __init__(self, spec: JobSpec, at: float, block: int, stamp: int) -> None:
-        self.spec, self.uid, self.at, self.block, self.stamp = spec, spec.uid, at, block, stamp
+    def __init__(self, spec: JobSpec, at: float, block: int) -> None:
+        self.spec, self.uid, self.at, self.block = spec, spec.uid, at, block
+        self.records: list[Record] = []  # one, or more after a retry at another door
         self.final: str | None = None  # once on record
+        self.told = False  # the view has told so too; all records that name the job came before that
         self.next_block = 0  # blocks are opened in order, as there is use for them
         self.undealt: list[int] = []  # tasks of opened blocks, in no machine's queue
         self.queued = 0  # tasks in machines' queues
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -110,6 +110,7 @@
             for actor in (
                 self.view.run,
                 self.view.run_reads,
+                self.door.acceptor.run,
                 partial(self.leadership.run, send),
                 partial(self.run_terms, receive),
                 self.run_types,
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -8,7 +8,7 @@
 
 import logging
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, TypeVar
 
@@ -213,6 +213,7 @@
         self._watch_at = -math.inf
         self._hang = HANG * settings.cluster.workers.report_s
         self._subscribers: list[trio.MemorySendChannel[list[Change]]] = []
+        self.followers: list[Callable[[Change], None]] = []  # told of each change as soon as ``data`` has it
         self._wanted = trio.Event()
         self._reading: _Read | None = None
 
@@ -297,6 +298,9 @@
         return True
 
     async def _reached(self, ledger: int, changes: list[Change]) -> None:
+        for change in changes:
+            for follower in self.followers:
+                follower(change)
         if ledger > self.ledger:
             self._hang = HANG * 2 * self._patience
         self.ledger = ledger
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -67,6 +67,11 @@
     return base | changes
 
 
+def accepted(*specs: dict[str, Any], at: float = 990.0) -> dict[str, Any]:
+    """The record on which these submissions stand."""
+    return {"jobs": {spec["uid"]: {"spec": spec, "at": at, "block": 256} for spec in specs}}
+
+
 class Net:
     """Addresses and who answers there; ``cut`` addresses are silent."""
 
