Machines on their way round a foreman that lost the workers are waited for; relays last

A worker waits 4 s for its answer and 1 s more, is relayed once, sent back to the foreman and loses the same again; 65 machines were deleted meanwhile, as 7.5 s is less than such a way. Now a suspicion lasts a lease, and while machines come by way of others the way round is allowed for. Inbox and relays are sized by the sockets.

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -28,7 +28,7 @@
 
 log = logging.getLogger(__name__)
 
-INBOX = 256
+INBOX = 1.0  # of the sockets: every connection may bring a report at once, as a whole fleet does after a takeover
 COURIERS = 64  # pushes at once
 SLOW_SHARE = 0.5  # of them: for machines that may not answer
 ELECTION = 0.05  # of a foreman's lease: no two elections are closer together
@@ -126,7 +126,8 @@
         workers = settings.cluster.workers
         self.report_s = workers.report_s
         self.grace = grace_s(settings)
-        self.send, self.inbox = trio.open_memory_channel[Any](INBOX)
+        self._most = max(256, int(settings.cluster.quota.max_connections * INBOX))
+        self.send, self.inbox = trio.open_memory_channel[Any](self._most)
         self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace, term.before)
         self.desk.push = lambda machine: self._to_push.add(machine.host)
         self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
@@ -190,7 +191,7 @@
         while not self.term.over.is_set():
             message = await self.inbox.receive()
             try:
-                for _ in range(INBOX):  # what has gathered shares one pass of scheduling
+                for _ in range(self._most):  # what has gathered shares one pass of scheduling
                     handlers[type(message)](message, trio.current_time())
                     message = self._next()
                     if message is None:
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -188,3 +188,15 @@
     stage.report(now=10.0)
     stage.desk.stop(machine.claims["req-000001", 0], "cancelled", 10.0)
     assert machine.claims
+
+
+def test_a_machine_on_its_way_round_a_foreman_that_lost_the_workers_is_not_given_up() -> None:
+    """Daftar's day apart: 65 machines were deleted while they waited for the foreman's answer and tried the next."""
+    stage = Stage()
+    for host in ("a", "b", "c"):
+        stage.report(host)
+    for relayed in (True, False):
+        for host in ("a", "b"):
+            stage.report(host, now=8.0)
+            stage.machine(host).relayed = relayed
+        assert ("c" in stage.desk.sweep(8.0)) is not relayed
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -29,7 +29,12 @@
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH = 1, 2, 3
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
-AT_ONCE = 16  # questions to one peer: a zone's workers may all be relayed at once
+BACK_SHARE = 1 / 12  # of the sockets: what the others may open to us, and so we to them all together
+
+
+def back_most(max_connections: int) -> int:
+    """How many connections the other controllers may have open to one."""
+    return max(8, int(max_connections * BACK_SHARE))
 
 
 class BadFrame(Exception):
@@ -104,8 +109,9 @@
 class PeerLink:
     """Questions to one other controller."""
 
-    def __init__(self, peer: Peer) -> None:
+    def __init__(self, peer: Peer, at_once: int = 16) -> None:
         self.peer = peer
+        self.at_once = at_once  # questions: the workers of a zone, or all of them, may be relayed at the same time
         self._at = address(peer.endpoint)
         self._idle: list[trio.abc.Stream] = []
         self._busy = 0
@@ -116,7 +122,7 @@
 
     async def ask(self, kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
         """The answer's status and body, or None."""
-        if self._busy >= AT_ONCE:
+        if self._busy >= self.at_once:
             return None
         self._busy += 1
         stream: trio.abc.Stream | None = None
@@ -134,7 +140,7 @@
         finally:
             self._busy -= 1
             if stream is not None:
-                if whole and len(self._idle) < AT_ONCE:
+                if whole and len(self._idle) < self.at_once:
                     self._idle.append(stream)
                 else:
                     await trio.aclose_forcefully(stream)
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -14,7 +14,7 @@
 from ladderfield.jobs.door import SUBMIT_S, Door
 from ladderfield.jobs.model import TYPES, parse_types
 from ladderfield.leadership import Leadership, Term
-from ladderfield.peers import HEALTH, RELAY, SELF, BackServer, PeerLink
+from ladderfield.peers import HEALTH, RELAY, SELF, BackServer, PeerLink, back_most
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.intake import ReportDesk
@@ -34,7 +34,8 @@
         self.view = View(self.client, settings)
         self.cloud = Cloud(settings)
         self.leadership = Leadership(settings, self.client, self.view)
-        self.links = {peer.member: PeerLink(peer) for peer in settings.peers}
+        at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
+        self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
         self.door = Door(settings, self.client, self.view, self.links)
         self.reports = ReportDesk(settings, self.leadership, self.links)
 
@@ -140,7 +141,7 @@
     controller = Controller(settings)
     most = settings.cluster.quota.max_connections
     front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
-    back = BackServer(controller.handle_back, max(8, most // 12), IDLE_S, SUBMIT_S)
+    back = BackServer(controller.handle_back, back_most(most), IDLE_S, SUBMIT_S)
     log.info("controller %s starts in %s", settings.member, settings.location or "no zone")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_listen, settings.bind, front, most)
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -14,13 +14,13 @@
 from ladderfield.leadership import Leadership
 from ladderfield.peers import RELAY, PeerLink
 from ladderfield.settings import Settings
-from ladderfield.workers.report import Report, parse_report
+from ladderfield.workers.report import ANSWER_S, Report, parse_report
 
 log = logging.getLogger(__name__)
 
-WORKER_S = 4.0  # the protocol: how long a worker waits for its answer
-ANSWER_BY = 0.6  # of that is ours
+ANSWER_BY = 0.6  # of the time that a worker waits for its answer is ours
 RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the foreman itself again
+SUSPECT_FOR = 1.0  # of lease_s: the same for one of which it is only a guess that it can't reach the foreman
 REMEMBERED = 4096  # workers
 T = TypeVar("T")
 
@@ -32,7 +32,6 @@
         self.leadership, self.links = leadership, links
         self.lease_s = settings.cluster.workers.lease_s
         self.inbox: trio.MemorySendChannel[Any] | None = None  # set while this controller is foreman
-        self._once: OrderedDict[str, float] = OrderedDict()  # worker -> when it was relayed on suspicion
         self._sent_away: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the foreman
         self._carried: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
         self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # worker -> tenure and tick
@@ -79,7 +78,8 @@
         """Whether the worker likely can't reach the foreman, so that its report is relayed.
 
         It came back after it was sent there; or we can't reach the foreman ourselves; or it has taken the foreman's
-        epoch already, so it was there and left. The last is only a guess: it is relayed once, and sent there next.
+        epoch already, so it was there and left. The last is only a guess, but to send it there at once would cost it
+        another wait for nothing: two of them are more than a silent machine is given.
         """
         host = report.host
         if now < self._carried.get(host, 0.0) or not link.reachable:
@@ -89,15 +89,15 @@
             self._note(self._carried, host, now + RELAY_FOR * self.lease_s)
             del self._sent_away[host]
             return True
-        if report.epoch == self.leadership.known_epoch() and now - self._once.get(host, -math.inf) > self.lease_s:
-            self._note(self._once, host, now)
+        if report.epoch == self.leadership.known_epoch():
+            self._note(self._carried, host, now + SUSPECT_FOR * self.lease_s)
             return True
         self._note(self._sent_away, host, now)
         return False
 
     async def _relay(self, link: PeerLink, body: bytes, hops: int) -> tuple[int, bytes] | None:
         """The foreman's answer, asked directly, or by way of another controller if we can't reach it."""
-        timeout = WORKER_S * ANSWER_BY / (1 + hops)
+        timeout = ANSWER_S * ANSWER_BY / (1 + hops)
         if link.reachable or hops:
             return await link.ask(RELAY, body, timeout, hops + 1)
         for other in self.links.values():
@@ -133,7 +133,7 @@
         message = Reported(report, relayed)
         if not self.tell_foreman(message):
             return Reply(503, {})
-        with trio.move_on_after(WORKER_S * ANSWER_BY):
+        with trio.move_on_after(ANSWER_S * ANSWER_BY):
             await message.done.wait()
             if message.answer is not None:
                 return Reply(200, message.answer)
--- a/ladderfield/workers/report.py
+++ b/ladderfield/workers/report.py
@@ -8,6 +8,8 @@
 
 from ladderfield.queues.work import TaskId
 
+# The protocol: how long a worker waits for an answer, and until it goes to the next controller.
+ANSWER_S, NEXT_S = 4.0, 1.0
 EPOCH_MOST = 2**32  # an attempt is made of the epoch and a counter, and fits 64 bits
 Token = Annotated[int, msgspec.Meta(ge=0)]
 
