Nothing is rented for work in a zone out of reach; a zone that is relayed counts as cut

At 206 s 86 machines of puget, on their way round the partition, were deleted as half of them were relayed already.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -24,14 +24,12 @@
 from ladderfield.state import Change
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import UNKNOWN, Machine
-from ladderfield.workers.report import ANSWER_S, NEXT_S
 
 log = logging.getLogger(__name__)
 
 # Ratios to the workers' pace.
 SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
 OVERDUE = 1.5  # of report_s: a report is missing, so no replica is put there and no room cleared for one
-LATEST = 1.25  # of report_s, the protocol: the longest between two reports
 LOST = 3.0  # of report_s: given up, and deleted so that its claims end
 LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
 CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
@@ -65,7 +63,7 @@
             if before and peer.member in before
         }
         self.mostly_silent = False
-        self.detours = False  # machines come by way of other controllers, so that others are likely on such a way
+        self.lost: dict[str, int] = {}  # of a zone: machines given up as silent since one was last heard there
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
         self.jobs: dict[str, Job] = {}
@@ -427,6 +425,8 @@
                 self.changed = True
             why = self._doomed(machine, silent, machine.zone in cut, now)
             if why and not machine.deleting:
+                if silent > SILENT * self.report_s and (machine.heard_at is not None or machine.claims):
+                    self.lost[machine.zone] = self.lost.get(machine.zone, 0) + 1
                 log.warning("machine %s: to be deleted: %s", machine.host, why)
                 machine.deleting = True
             if machine.deleting:
@@ -440,20 +440,23 @@
         return doomed
 
     def _cut_zones(self, now: float) -> set[str]:
-        """Zones where at least half of the machines, and more than one, are silent."""
+        """Zones where at least half of the machines, and more than one, are silent, or come by way of another
+        controller: then those that are silent are likely on such a way, or would be if there were one."""
         known: dict[str, list[int]] = {}
         for machine in self.machines.values():
             if machine.heard_at is not None or machine.claims:
                 count = known.setdefault(machine.zone, [0, 0])
                 count[0] += 1
                 silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
-                count[1] += silent or machine.deaf_since is not None
-        since = now - SILENT * self.report_s
-        relayed = (one for one in self.machines.values() if one.relayed and (one.fresh_at or -math.inf) >= since)
-        self.detours = sum(1 for _ in relayed) > 1
+                count[1] += silent or machine.relayed or machine.deaf_since is not None
         self.mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(every for every, _ in known.values())
         return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
 
+    def out_of_reach(self, zone: str) -> bool:
+        """Whether a zone is likely cut off: machines were given up there and none is heard. What is rented there would
+        cost money and do nothing. Where there is no other zone there is no choice."""
+        return self.lost.get(zone, 0) > 1 and len(self.settings.cluster.zones) > 1
+
     def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
         if machine.listed == "failed":
             return "it failed"
@@ -461,8 +464,6 @@
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
-        if self.detours:
-            patience = max(patience, LATEST * self.report_s + ANSWER_S + 1.5 * NEXT_S)
         if machine.up_at is None:
             # A foreman before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
