--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -461,6 +461,8 @@
         if machine.listed == "failed":
             return "it failed"
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
+        # A successor finds machines that have been up for long and were idle: they get the time to come to it.
+        booted = booted or machine.runs_since is not None
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -200,3 +200,14 @@
             stage.report(host, now=8.0)
             stage.machine(host).relayed = relayed
         assert ("c" in stage.desk.sweep(8.0)) is not relayed
+
+
+def test_idle_machines_that_a_successor_finds_running_get_the_time_to_come_to_it() -> None:
+    """Daftar's day zone: 56 of them were deleted in the first second of the term, as machines that never came up."""
+    stage = Stage()
+    for host, runs_since in (("runs", 0.0), ("boots", None)):
+        machine = stage.desk.sessions.machine(host, "10.9.0.1:90", "m4", "za", False, 0.0)
+        assert machine is not None
+        machine.born_at, machine.runs_since = -100.0, runs_since
+    assert stage.desk.sweep(1.0) == ["boots"]
+    assert "runs" in stage.desk.sweep(12.0)
