--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -457,12 +457,22 @@
         cost money and do nothing. Where there is no other zone there is no choice."""
         return self.lost.get(zone, 0) > 1 and len(self.settings.cluster.zones) > 1
 
+    @staticmethod
+    def booted(machine: Machine) -> bool:
+        """Whether it has come up. By the list, too: a successor finds machines that have been up for long and were
+        idle, and they get the time to come to it."""
+        known = machine.heard_at is not None or machine.runs_since is not None or machine.kind is UNKNOWN
+        return known or bool(machine.claims)
+
+    def given_up(self, machine: Machine, now: float) -> bool:
+        """Whether it has been silent for so long that nothing should be planned on it, even while it can't be
+        deleted."""
+        return self.booted(machine) and machine.silent_for(now, self.term_from) > LOST * self.report_s
+
     def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
         if machine.listed == "failed":
             return "it failed"
-        booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        # A successor finds machines that have been up for long and were idle: they get the time to come to it.
-        booted = booted or machine.runs_since is not None
+        booted = self.booted(machine)
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ladderfield.fleet.cloud import Cloud
+from ladderfield.fleet.plan import Planner
 from ladderfield.foreman.actor import Foreman, Pushed
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
@@ -210,4 +211,7 @@
         assert machine is not None
         machine.born_at, machine.runs_since = -100.0, runs_since
     assert stage.desk.sweep(1.0) == ["boots"]
+    stage.submit("req-000001", owner="blue", rungs=2)
+    planner = Planner(stage.desk)
+    assert not planner.rentals(1.0) and planner.rentals(8.0), "nothing is planned on what has been silent for long"
     assert "runs" in stage.desk.sweep(12.0)
