--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -267,7 +267,7 @@
         machine = self.desk.sessions.report(report, now, answering=True)
         orders: list[dict[str, Any]] = []
         if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
-            machine.relayed = message.relayed
+            machine.came(message.relayed, now)
             orders = self.desk.sessions.orders(machine, now, report.tick)
         message.answer = {"epoch": self.term.epoch, "orders": orders}
         message.done.set()
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -24,14 +24,17 @@
 from ladderfield.state import Change
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import UNKNOWN, Machine
+from ladderfield.workers.report import ANSWER_S, NEXT_S
 
 log = logging.getLogger(__name__)
 
 # Ratios to the workers' pace.
 SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
 OVERDUE = 1.5  # of report_s: a report is missing, so no replica is put there and no room cleared for one
+LATEST = 1.25  # of report_s, the protocol: the longest between two reports
 LOST = 3.0  # of report_s: given up, and deleted so that its claims end
 LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
+DETOURS = 2.0  # of lease_s: how long machines that begin to be relayed show that their zone is cut off
 CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
@@ -440,15 +443,17 @@
         return doomed
 
     def _cut_zones(self, now: float) -> set[str]:
-        """Zones where at least half of the machines, and more than one, are silent, or come by way of another
-        controller: then those that are silent are likely on such a way, or would be if there were one."""
+        """Zones where at least half of the machines, and more than one, are silent, or have lately begun to come by
+        way of another controller: then those that are silent are likely on such a way, or would be if there were one.
+        """
         known: dict[str, list[int]] = {}
         for machine in self.machines.values():
             if machine.heard_at is not None or machine.claims:
                 count = known.setdefault(machine.zone, [0, 0])
                 count[0] += 1
                 silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
-                count[1] += silent or machine.relayed or machine.deaf_since is not None
+                detour = machine.relayed and now - machine.detour_at < DETOURS * self.lease_s
+                count[1] += silent or detour or machine.deaf_since is not None
         self.mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(every for every, _ in known.values())
         return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
 
@@ -476,6 +481,9 @@
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
+        if machine.relayed:
+            # Now and then it is sent to us again, and waits there before it goes the other way.
+            patience = max(patience, LATEST * self.report_s + ANSWER_S + 2 * NEXT_S)
         if machine.up_at is None:
             # A foreman before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -56,11 +56,16 @@
         link = self.links.get(foreman or "")
         if link is None:
             return Reply(421, {})
-        if self._copy(report) or not self._cut_off(report, link, trio.current_time()):
+        carry_for = None if self._copy(report) else self._cut_off(report, link, trio.current_time())
+        if carry_for is None:
             return Reply(421, {"foreman": foreman})
         answer = await self._relay(link, request.body, 0)
         if answer is None or answer[0] != 200:
             return Reply(421, {})
+        if carry_for:
+            # Only now: the foreman is there and answers us. While it is gone, everybody comes back from it.
+            self._note(self._carried, report.host, trio.current_time() + carry_for)
+            self._sent_away.pop(report.host, None)
         reply = Reply(200)
         reply.body = answer[1]
         return reply
@@ -74,8 +79,9 @@
         self._note(self._newest, report.host, order)
         return False
 
-    def _cut_off(self, report: Report, link: PeerLink, now: float) -> bool:
-        """Whether the worker likely can't reach the foreman, so that its report is relayed.
+    def _cut_off(self, report: Report, link: PeerLink, now: float) -> float | None:
+        """Whether the worker likely can't reach the foreman, so that its report is relayed: None if not, else for how
+        long its next ones are to be relayed too if this one gets there.
 
         It came back after it was sent there; or we can't reach the foreman ourselves; or it has taken the foreman's
         epoch already, so it was there and left. The last is only a guess, but to send it there at once would cost it
@@ -83,17 +89,15 @@
         """
         host = report.host
         if now < self._carried.get(host, 0.0) or not link.reachable:
-            return True
+            return 0.0
         if now - self._sent_away.get(host, -math.inf) < self.lease_s:
             log.info("machine %s: can't reach %s, its reports are relayed", host, link.peer.member)
-            self._note(self._carried, host, now + RELAY_FOR * self.lease_s)
-            del self._sent_away[host]
-            return True
-        if report.epoch == self.leadership.known_epoch():
-            self._note(self._carried, host, now + SUSPECT_FOR * self.lease_s)
-            return True
+            return RELAY_FOR * self.lease_s
+        lately = now - self._carried.get(host, -math.inf) < self.lease_s  # then it is sent there, to see
+        if report.epoch == self.leadership.known_epoch() and not lately:
+            return SUSPECT_FOR * self.lease_s
         self._note(self._sent_away, host, now)
-        return False
+        return None
 
     async def _relay(self, link: PeerLink, body: bytes, hops: int) -> tuple[int, bytes] | None:
         """The foreman's answer, asked directly, or by way of another controller if we can't reach it."""
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -27,6 +27,7 @@
         "cpus",
         "deaf_since",
         "deleting",
+        "detour_at",
         "doubts",
         "endpoint",
         "epoch",
@@ -69,6 +70,7 @@
         self.unheeded = 0  # signs in a row that what we tell it does not arrive
         self.deaf_since: float | None = None  # since these were enough to believe it
         self.relayed = False  # its last report came by way of another controller
+        self.detour_at = -math.inf  # since when that has been so, or was last
         self.tenure = self.tick = self.epoch = 0
         self.recall_at: float | None = None
         self.claims: dict[TaskId, Claim] = {}
@@ -175,6 +177,12 @@
             since = max(term_from, self.runs_since or term_from) if self.up_at is None else self.up_at
         return now - since
 
+    def came(self, relayed: bool, now: float) -> None:
+        """A report came straight, or by way of another controller."""
+        if relayed and not self.relayed:
+            self.detour_at = now
+        self.relayed = relayed
+
     def heeds(self) -> None:
         """Something that we told it has arrived."""
         self.unheeded, self.deaf_since = 0, None
