--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -178,7 +178,6 @@
         self.desk = desk
         self.refused: dict[Offer, tuple[float, float]] = {}  # until when, and the pause that led there
         self._asked, self._asked_at = 0.0, -math.inf  # cpus asked for, smoothed
-        self._shut: set[str] = set()  # zones out of reach, where nothing is rented for work
         self.keep: set[str] = set()  # machines that the last plan needs though they are idle
 
     def refuse(self, offer: Offer, now: float) -> None:
@@ -194,33 +193,19 @@
     def rentals(self, now: float) -> list[Rental]:
         """What to ask for now, given what is up and under way."""
         desk = self.desk
-        self._shut = {zone for kind in desk.types.values() for zone in kind.zones if desk.out_of_reach(zone)}
         plan = Plan(
             Room(machine)
             for machine in desk.machines.values()
             if not (machine.deleting or machine.sick or machine.deaf_since is not None)
             and machine.recall_at is None
             and machine.kind.cpus
-            and not desk.given_up(machine, now)
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
         self._services([job for job in jobs if job.spec.service], plan, now)
         self._arrays([job for job in jobs if not job.spec.service], plan, now)
         self.keep = {room.host for room in plan.rooms if room.host and room.needed}
-        rentals = [Rental(offer, count) for offer, count in plan.planned.items()]
-        return rentals + (self._probes(now) if jobs else [])
-
-    def _probes(self, now: float) -> list[Rental]:
-        """One machine in each zone out of reach, so that its report tells when that is over."""
-        under_way = {one.zone for one in self.desk.machines.values() if one.heard_at is None and not one.deleting}
-        probes = []
-        for zone in self._shut - under_way:
-            offers = [(kind.price, (kind.name, zone, False)) for kind in self.desk.types.values() if zone in kind.zones]
-            offers = [one for one in offers if self.refused.get(one[1], (-math.inf, 0.0))[0] <= now]
-            if offers:
-                probes.append(Rental(min(offers)[1], 1))
-        return probes
+        return [Rental(offer, count) for offer, count in plan.planned.items()]
 
     def _services(self, jobs: list[Job], plan: Plan, now: float) -> None:
         """Every waiting replica gets room, if need be in place of lower ranks; and so do those soon to come."""
@@ -286,7 +271,7 @@
                 continue
             full = slots(spec, kind.cpus, kind.gpus, kind.memory_gb)
             for zone in kind.zones:
-                if spec.zone not in (None, zone) or zone in self._shut:
+                if spec.zone not in (None, zone):
                     continue
                 for spot in kinds:
                     offer = (kind.name, zone, spot)
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -334,8 +334,6 @@
             if machine is None:
                 continue
             machine.listed = one.phase
-            if one.phase == "running" and machine.runs_since is None:
-                machine.runs_since = now
             if fresh:
                 machine.born_at = now - one.held_s
                 log.info("machine %s: found in the list, %s", one.host, one.phase)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -66,7 +66,6 @@
             if before and peer.member in before
         }
         self.mostly_silent = False
-        self.lost: dict[str, int] = {}  # of a zone: machines given up as silent since one was last heard there
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
         self.jobs: dict[str, Job] = {}
@@ -428,8 +427,6 @@
                 self.changed = True
             why = self._doomed(machine, silent, machine.zone in cut, now)
             if why and not machine.deleting:
-                if silent > SILENT * self.report_s and (machine.heard_at is not None or machine.claims):
-                    self.lost[machine.zone] = self.lost.get(machine.zone, 0) + 1
                 log.warning("machine %s: to be deleted: %s", machine.host, why)
                 machine.deleting = True
             if machine.deleting:
@@ -457,27 +454,10 @@
         self.mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(every for every, _ in known.values())
         return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
 
-    def out_of_reach(self, zone: str) -> bool:
-        """Whether a zone is likely cut off: machines were given up there and none is heard. What is rented there would
-        cost money and do nothing. Where there is no other zone there is no choice."""
-        return self.lost.get(zone, 0) > 1 and len(self.settings.cluster.zones) > 1
-
-    @staticmethod
-    def booted(machine: Machine) -> bool:
-        """Whether it has come up. By the list, too: a successor finds machines that have been up for long and were
-        idle, and they get the time to come to it."""
-        known = machine.heard_at is not None or machine.runs_since is not None or machine.kind is UNKNOWN
-        return known or bool(machine.claims)
-
-    def given_up(self, machine: Machine, now: float) -> bool:
-        """Whether it has been silent for so long that nothing should be planned on it, even while it can't be
-        deleted."""
-        return self.booted(machine) and machine.silent_for(now, self.term_from) > LOST * self.report_s
-
     def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
         if machine.listed == "failed":
             return "it failed"
-        booted = self.booted(machine)
+        booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
         # After a takeover a machine may still be on its way between controllers, some of which don't answer.
         finding = machine.fresh_at is None
         patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
@@ -496,7 +476,9 @@
             lasting = LOST_TOGETHER * self.lease_s if machine.replicas else 0.0
             if now - machine.deaf_since > max(patience, lasting):
                 return "it does not hear us"
-        if not booted and now - machine.born_at > BOOT * machine.kind.boot_s:
+        # A successor finds idle machines that have been up for long: they get the time to come to it.
+        found = now - self.term_from > LOST_TOGETHER * self.lease_s
+        if not booted and found and now - machine.born_at > BOOT * machine.kind.boot_s:
             return "it never came up"
         if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
             return "it is sick"
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -63,7 +63,6 @@
         machine.heard_at = now
         if accepted:
             machine.fresh_at = now
-            desk.lost.pop(machine.zone, None)
         new_session = report.tenure > machine.tenure
         if new_session:
             machine.doubts.clear()  # orders of an earlier session are refused from now on
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -47,7 +47,6 @@
         "relayed",
         "replicas",
         "replicas_low",
-        "runs_since",
         "seen",
         "sick",
         "soft",
@@ -87,7 +86,6 @@
         self.hold_rank, self.hold_until = 0, -math.inf  # room being cleared for this rank or better
         self.idle_since: float | None = now
         self.listed: str | None = None
-        self.runs_since: float | None = None  # when the list was first seen to say that it runs
 
     def about(self) -> list[Any]:
         """What a claim's record says of the machine."""
@@ -174,7 +172,7 @@
         """How long it has shown no sign of being well: of having taken our epoch."""
         since = self.fresh_at
         if since is None:
-            since = max(term_from, self.runs_since or term_from) if self.up_at is None else self.up_at
+            since = term_from if self.up_at is None else self.up_at
         return now - since
 
     def came(self, relayed: bool, now: float) -> None:
