The right to hire and to delete is asked again after the wait for the cloud's turn

A foreman that stands still between its decision and the call would delete what its successor has put to work meanwhile (found by reading; no rule at stake, as the successor's claims end with the machine). Number of a job's blocks is counted once.

--- a/ladderfield/fleet/cloud.py
+++ b/ladderfield/fleet/cloud.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import msgspec
@@ -43,8 +44,13 @@
         self.budget = Budget(settings.cluster.cloud.rps * 0.8)
         self.idle_budget = Budget(settings.cluster.cloud.rps * 0.2 / settings.cluster.size)
 
-    async def _call(self, method: str, target: str, body: Any, urgent: bool = False) -> tuple[int, dict[str, Any]]:
+    async def _call(
+        self, method: str, target: str, body: Any, urgent: bool = False, may: Callable[[], bool] | None = None
+    ) -> tuple[int, dict[str, Any]]:
         await self.budget.take(urgent=urgent)
+        if may is not None and not may():
+            # Asked after the wait: a foreman that stood still meanwhile may have a successor, who decides anew.
+            raise CloudTrouble("no longer ours to decide")
         try:
             status, data = await self._client.call(method, target, body, CALL_S)
             answer = decode_object(data) if data else {}
@@ -63,10 +69,10 @@
             raise CloudTrouble(f"machine types: {status}")
         return kinds
 
-    async def rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+    async def rent(self, name: str, kind: str, zone: str, spot: bool, count: int, may: Callable[[], bool]) -> list[str]:
         """Rent up to ``count`` machines under a name that is never used for anything else."""
         body = {"hire": name, "flavour": kind, "yard": zone, "loaners": spot, "howMany": count}
-        status, answer = await self._call("POST", "/machines", body)
+        status, answer = await self._call("POST", "/machines", body, may=may)
         if status == 503 and answer.get("error") == "no capacity":
             raise NoCapacity
         hosts = answer.get("hosts")
@@ -74,9 +80,9 @@
             raise CloudTrouble(f"hire {name}: {status}")
         return hosts
 
-    async def delete(self, hosts: list[str]) -> None:
+    async def delete(self, hosts: list[str], may: Callable[[], bool]) -> None:
         """Give machines up; once this returns they and all on them are gone."""
-        status, _ = await self._call("POST", "/machines/delete", {"hosts": hosts}, urgent=True)
+        status, _ = await self._call("POST", "/machines/delete", {"hosts": hosts}, urgent=True, may=may)
         if status != 200:
             raise CloudTrouble(f"delete: {status}")
 
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -498,7 +498,7 @@
         refused = False
         while True:
             try:
-                hosts = await self.cloud.rent(name, kind, zone, spot, count)
+                hosts = await self.cloud.rent(name, kind, zone, spot, count, self._may_start)
                 refused = len(hosts) < count
                 log.info("hire %s: %d of %d %s in %s, spot %s: %s", name, len(hosts), count, kind, zone, spot, hosts)
                 break
@@ -511,9 +511,13 @@
                 await trio.sleep(self.report_s / 2)
         await self.send.send(Rented(name, rental.offer, hosts, refused))
 
+    def _may_start(self) -> bool:
+        """The right to act, as of now."""
+        return self.term.may_start(trio.current_time())
+
     async def _delete(self, hosts: list[str]) -> None:
         try:
-            await self.cloud.delete(hosts)
+            await self.cloud.delete(hosts, self._may_start)
             sure = True
         except CloudTrouble as error:
             log.info("delete %s: %s", hosts, error)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -339,8 +339,8 @@
         fit: dict[Shape, list[Machine]] = {}
         for job in self.jobs.values():
             if job.final is None:
-                while job.queued + len(job.undealt) < job.block and job.open_next():
-                    pass
+                while job.next_block < job.blocks and job.queued + len(job.undealt) < job.block:
+                    job.open_next()
                 if job.undealt:
                     if job.shape not in fit:
                         fit[job.shape] = [machine for machine in machines if machine.allows(job.spec)]
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -101,6 +101,7 @@
         "_usual",
         "at",
         "block",
+        "blocks",
         "claims",
         "errors",
         "failed_hosts",
@@ -127,6 +128,7 @@
         self.records: list[Record] = []  # one, or more after a retry at another door
         self.final: str | None = None  # once on record
         self.told = False  # the view has told so too; all records that name the job came before that
+        self.blocks = block_count(spec.tasks, block)
         self.next_block = 0  # blocks are opened in order, as there is use for them
         self.undealt: list[int] = []  # tasks of opened blocks, in no machine's queue
         self.queued = 0  # tasks in machines' queues
@@ -145,11 +147,6 @@
         self.shape: Shape = (spec.team, spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone, types)
         self._usual: tuple[int, float] = (0, 0.0)  # how many run times were seen, and the middle of them
 
-    @property
-    def block_total(self) -> int:
-        """How many blocks the job has."""
-        return block_count(self.spec.tasks, self.block)
-
     @property
     def done(self) -> int:
         """How many tasks are done."""
@@ -172,7 +169,7 @@
 
     def open_next(self) -> bool:
         """Bring the next block's free tasks into play; False if there is none left."""
-        if self.next_block >= self.block_total:
+        if self.next_block >= self.blocks:
             return False
         first = self.next_block * self.block
         self.next_block += 1
