Few machines missing after a takeover are given up sooner once no earlier foreman is left

Ruled out: waiting is of use only while an earlier foreman may answer them, or where most of a zone is silent; there it stays.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -458,17 +458,22 @@
         if machine.listed == "failed":
             return "it failed"
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        # After a takeover a machine may still be on its way between controllers, some of which don't answer.
-        finding = machine.fresh_at is None
-        patience = max(LOST * self.report_s, LOST_TOGETHER * self.lease_s if cut or finding else 0.0)
-        if machine.relayed:
-            # Now and then it is sent to us again, and waits there before it goes the other way.
-            patience = max(patience, LATEST * self.report_s + ANSWER_S + 2 * NEXT_S)
+        # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
+        # that is relayed is sent to us now and then, and waits there before it goes the other way.
+        finding, alone = machine.fresh_at is None, self.others_until <= now
+        way = LATEST * self.report_s + ANSWER_S + 2 * NEXT_S
+        together = LOST_TOGETHER * self.lease_s
+        patience = LOST * self.report_s
+        if cut or (finding and not alone):
+            patience = max(patience, together)
+        elif finding or machine.relayed:
+            patience = max(patience, way)
         if machine.up_at is None:
             # A foreman before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
             if min(until, self.others_until) > self.term_from:
-                patience = min(until, self.others_until) - self.term_from + LOST_TOGETHER * self.lease_s
+                few = alone and not cut and not self.mostly_silent
+                patience = min(until, self.others_until) - self.term_from + (way if few else together)
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.deaf_since is not None:
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -210,3 +210,20 @@
     machine.born_at = -100.0
     assert not stage.desk.sweep(1.0)
     assert stage.desk.sweep(10.0) == ["m"]
+
+
+def test_few_that_are_missing_after_a_takeover_are_given_up_sooner_once_no_earlier_foreman_is_left() -> None:
+    """Daftar's day zone: replicas on machines cut off before the crash were dead for 6 s before anything was done."""
+    stage = Stage()
+    for host in "abcde":
+        stage.report(host, now=2.0)
+    gone = stage.desk.machines["m"] = Machine("m", "10.9.0.1:90", stage.machine("a").kind, "za", False, 0.0)
+    stage.submit(rungs=1)
+    gone.claims[("req-000001", 0)] = Claim(stage.desk.jobs["req-000001"], 0, 99, "m", ABOUT)
+    for now, doomed in ((8.4, False), (8.6, True)):
+        for host in "abcde":
+            stage.report(host, now=now)
+        assert ("m" in stage.desk.sweep(now)) is False, "another may still answer it"
+        stage.desk.sole(0.5)
+        assert ("m" in stage.desk.sweep(now)) is doomed
+        stage.desk.others_until = 36.0
