--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -1,10 +1,15 @@
-"""What is rented."""
+"""What is rented and returned: horizons, spare room, refusals, returns."""
 
 from __future__ import annotations
 
 from ladderfield.fleet.cloud import RENT_MOST
 from ladderfield.fleet.plan import HIRES, Planner
-from ladderfield.foreman.test_desk import Stage
+from ladderfield.foreman.test_desk import Stage, launched, rung
+
+
+def count(planner: Planner, now: float, spot: bool | None = None) -> int:
+    """How many machines the planner asks for."""
+    return sum(rental.count for rental in planner.rentals(now) if spot in (None, rental.offer[2]))
 
 
 def test_a_plan_asks_for_no_more_of_one_kind_than_a_round_of_hires_brings() -> None:
@@ -12,3 +17,76 @@
     stage.submit("req-000001", owner="blue", rungs=10_000)
     rentals = Planner(stage.desk).rentals(1.0)
     assert [rental.count for rental in rentals] == [RENT_MOST * HIRES]
+
+
+def test_tasks_that_fit_free_room_rent_nothing_and_a_replica_may_take_the_room_of_lower_ranks() -> None:
+    stage = Stage()
+    stage.report()
+    stage.submit("req-000001", rungs=2)
+    planner = Planner(stage.desk)
+    assert not planner.rentals(1.0)
+    stage.submit("req-000002", rungs=2, owner="blue")
+    assert count(planner, 1.0) == 1
+    full = Stage()
+    launched(full, 2)
+    full.submit("req-000002", shape="daemon", rank="production", rungs=1, cores=4.0, loaners=False)
+    full.desk.outlook.arrivals.clear()
+    full.desk.outlook.latest.clear()
+    assert not Planner(full.desk).rentals(1.0), "both arrays' tasks would make way"
+
+
+def test_ordinary_machines_are_rented_as_far_as_the_jobs_can_not_wait_for_those_there_are() -> None:
+    asked = []
+    for due in (10.0, 100.0, 1000.0):
+        stage = Stage()
+        stage.report()
+        stage.submit("req-000001", owner="blue", rungs=100, loaners=False, expectS=5.0, dueS=due)
+        asked.append(count(Planner(stage.desk), 1.0))
+    assert asked[0] > asked[1] > asked[2] == 0
+
+
+def test_room_is_kept_for_the_replicas_that_will_come_while_a_machine_boots() -> None:
+    stage = Stage()
+    stage.submit("req-000001", owner="blue", shape="daemon", rank="production", rungs=1, cores=4.0, loaners=False)
+    one = count(Planner(stage.desk), 1.0)
+    for number in range(2, 60):
+        uid = f"req-{number:06d}"
+        stage.submit(uid, owner="blue", shape="daemon", rank="production", rungs=1, cores=4.0, loaners=False)
+        stage.tell(uid, "cancelled")
+    assert one == 2, "the one that waits, and one for those to come"
+    assert count(Planner(stage.desk), 1.0) == 1 + 8, "the mean of 4.9 and one deviation of 2.2, in whole machines"
+
+
+def test_a_refusal_stands_for_a_while_and_longer_the_next_time_until_one_is_freed() -> None:
+    stage = Stage()
+    stage.submit("req-000001", owner="blue", rungs=4, loaners=True)
+    planner = Planner(stage.desk)
+    offers = {rental.offer for rental in planner.rentals(1.0)}
+    assert {offer[2] for offer in offers} == {True}, "spot machines are cheaper"
+    pauses = []
+    now = 1.0
+    for _ in range(2):
+        for zone in ("za", "zb"):
+            planner.refuse(("m4", zone, True), now)
+        until = next(step for step in range(1, 200) if count(planner, now + step, spot=True))
+        pauses.append(until)
+        now += until
+    assert pauses[1] > pauses[0]
+    for zone in ("za", "zb"):
+        planner.refuse(("m4", zone, True), now)
+    machine = stage.desk.sessions.machine("m", "", "m4", "za", True, now)
+    assert machine is not None and not count(planner, now, spot=True)
+    machine.deleting = True
+    planner.freed(machine)
+    assert count(planner, now, spot=True)
+
+
+def test_idle_machines_are_returned_when_it_costs_more_to_keep_them_than_to_bring_them_back() -> None:
+    stage = Stage()
+    attempt = launched(stage, 1)
+    stage.report("idle")
+    planner = Planner(stage.desk)
+    assert not planner.returns(1.0)
+    assert [machine.host for machine in planner.returns(40.0)] == ["idle"]
+    stage.report(rungs=(rung(0, attempt),), now=40.0)
+    assert [machine.host for machine in planner.returns(400.0)] == ["idle"], "a machine with work stays"
