--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -26,7 +26,7 @@
 RECENT = 8.0  # of report_s: what counts as lately
 LINGER_LEAST = 1.0  # of report_s
 PATIENCE = 0.7  # of a job's slack: how long its tasks may wait before dear machines are rented for them
-SPARE = 1.0  # standard deviations over the number of services expected while a machine boots: room kept ready
+SPARE = 1.0  # standard deviations over the services expected while a machine is made ready: room kept for them
 
 HIRES = 2  # of the most machines a hire may ask for: of one offer in one plan
 NOTHING = [0.0, 0.0, 0.0]
@@ -215,7 +215,9 @@
         for stream, job in desk.outlook.latest.items():
             offer = self._best(job.spec, 1, (True, False), now)
             if offer is not None:
-                coming = desk.types[offer[0]].boot_s * desk.outlook.rate(stream, now) * job.spec.tasks
+                kind = desk.types[offer[0]]
+                until = kind.boot_s + kind.fetch_s(job.spec.image_gb)
+                coming = until * desk.outlook.rate(stream, now) * job.spec.tasks
                 self._give(job.spec, job.shape, math.ceil(coming + SPARE * math.sqrt(coming)), plan, now)
 
     def _give(self, spec: JobSpec, shape: Shape, need: int, plan: Plan, now: float, soon: bool = False) -> None:
@@ -300,11 +302,14 @@
         self._asked_at = now
         excess = sum(one.kind.cpus for one in live) - AMPLE * max(asked, self._asked)
         result = []
-        for machine in sorted(live, key=lambda one: (one.spot, -one.kind.price, one.host)):
+        # A replica that finds its image starts at once; what has none that may be asked for goes first.
+        wanted = {stream[1] for stream in desk.outlook.latest if desk.outlook.rate(stream, now)}
+        warm = {one for one in live if not one.spot and not wanted.isdisjoint(one.cached)}
+        for machine in sorted(live, key=lambda one: (one.spot, one in warm, -one.kind.price, one.host)):
             if machine.claims or machine.idle_since is None or machine.host in self.keep:
                 continue
             again = machine.kind.boot_s + machine.kind.fetch_s(max(machine.cached.values(), default=0.0))
-            ample = machine.kind.cpus <= excess
+            ample = machine.kind.cpus <= excess and machine not in warm
             linger = max((LINGER_AMPLE if ample else LINGER) * again, LINGER_LEAST * desk.report_s)
             if now - machine.idle_since > linger:
                 result.append(machine)
