A job too large for a record costs nobody else theirs; records from before are read

Found by reading: the state service's 400 to such a record would have held up all that shared it for as long as its user tried again.

--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -17,7 +17,18 @@
 from ladderfield.foreman.pages import HOSTS, Page, Pages
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
-from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PAGE, TYPES, JobSpec, MachineType, parse_types
+from ladderfield.jobs.model import (
+    CANCELLED,
+    DONE,
+    FINAL,
+    JOB,
+    PAGE,
+    TYPES,
+    JobSpec,
+    MachineType,
+    jobs_on,
+    parse_types,
+)
 from ladderfield.queues.pick import Queues, Tier, tiers
 from ladderfield.queues.work import Claim, Job, Record, Shape, Share, TaskId, task_name
 from ladderfield.settings import Settings
@@ -168,7 +179,7 @@
     def _add_jobs(self, key: str, value: Any, stamp: int) -> None:
         """A record of accepted jobs. One that a job has been on twice is known already."""
         record = Record(key, stamp)
-        for uid, entry in value["jobs"].items():
+        for uid, entry in jobs_on(key, value).items():
             job = self.jobs.get(uid)
             if job is None:
                 spec = msgspec.convert(entry["spec"], JobSpec)
--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -16,12 +16,14 @@
 import trio
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import FINAL, FULL, JOB
+from ladderfield.jobs.model import FINAL, FULL, JOB, jobs_on
 from ladderfield.settings import Settings
 from ladderfield.state import Change, StateClient, Unavailable, View
 
 log = logging.getLogger(__name__)
 
+TXN_BYTES = 48 * 1024  # of the 64 KiB that a transaction may hold; the rest is for its guards
+FRAME = 64  # bytes of a record beside its jobs
 GUARDS = 4  # the protocol: so many conditions for each change that a transaction may hold
 ANSWER = 0.25  # of the time a user waits: how long one write may take
 PATIENCE = 0.2  # of it: who would wait longer for a turn is told at once to come back
@@ -29,6 +31,11 @@
 HOPEFUL = 0.2  # of it: the state service answered within this, so asking again may help
 
 
+def record_size(uid: str, record: dict[str, Any]) -> int:
+    """The bytes that a job takes on a record."""
+    return len(encode(record)) + len(uid) + 4
+
+
 class Register:
     """Which jobs are accepted, and on which records they stand; follows the view change by change."""
 
@@ -48,7 +55,7 @@
             if not self._of[uid]:
                 del self._of[uid]
         if change.value is not None:
-            uids = self._records[change.key] = list(change.value["jobs"])
+            uids = self._records[change.key] = list(jobs_on(change.key, change.value))
             for uid in uids:
                 self._of.setdefault(uid, []).append(change.key)
 
@@ -60,7 +67,7 @@
 
     def __init__(self, uid: str, record: dict[str, Any]) -> None:
         self.uid, self.record = uid, record
-        self.size = len(encode(record)) + len(uid) + 4
+        self.size = record_size(uid, record)
         self.done = trio.Event()
         # None: not on record by us; 0: it is; else the revision by which something on record speaks of it already.
         self.known_at: int | None = None
@@ -72,7 +79,7 @@
     def __init__(self, settings: Settings, client: StateClient, view: View, register: Register, wait_s: float) -> None:
         self.client, self.view, self.register, self.wait_s = client, view, register, wait_s
         state = settings.cluster.state
-        self.most_bytes = state.value_kb * 1024 * FULL
+        self.most_bytes = min(state.value_kb * 1024, TXN_BYTES) * FULL - FRAME
         self.most_jobs = GUARDS * state.txn_ops - 1
         self._waiting: OrderedDict[str, Wanted] = OrderedDict()
         self._some = trio.Event()
@@ -114,7 +121,7 @@
     def _next(self) -> list[Wanted]:
         """The eldest that fit one record."""
         batch: list[Wanted] = []
-        size = 64.0
+        size = 0.0
         for wanted in self._waiting.values():
             if len(batch) >= self.most_jobs or (batch and size + wanted.size > self.most_bytes):
                 break
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -16,7 +16,7 @@
 import trio
 
 from ladderfield.http import Reply, Request
-from ladderfield.jobs.accept import Acceptor, Register
+from ladderfield.jobs.accept import Acceptor, Register, record_size
 from ladderfield.jobs.model import (
     CANCELLED,
     FINAL,
@@ -126,6 +126,8 @@
             if why is not None:
                 return Reply(422, {"error": why})
         record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
+        if record_size(uid, record) > self.acceptor.most_bytes:
+            return Reply(400, {"error": "its description is too large to be put on record"})
         until = trio.current_time() + SUBMIT_S * SPARE
         wanted = await self.acceptor.accept(uid, record, until)
         if wanted.known_at == 0:
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -123,6 +123,11 @@
     return max(1, int(value_kb * 1024 / BYTES_PER_TASK))
 
 
+def jobs_on(key: str, value: dict[str, Any]) -> dict[str, dict[str, Any]]:
+    """The accepted jobs on a record. One from before jobs shared records stands for itself."""
+    return value["jobs"] if "jobs" in value else {key.removeprefix(JOB): value}
+
+
 def page_key(number: int) -> str:
     """The key of a page; pages are numbered without gaps."""
     return f"{PAGE}{number}"
--- a/ladderfield/jobs/test_jobs.py
+++ b/ladderfield/jobs/test_jobs.py
@@ -172,6 +172,27 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_job_too_large_for_a_record_costs_nobody_else_theirs(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        reply = await door(Request("POST", "/api/jobs", msgspec.json.encode(job("req-000007", bundle="x" * 20_000))))
+        assert reply is not None and reply.status == 400
+        assert await _submit(door, "req-000001") == {"req-000001": 201}
+        assert service.ledger == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_records_from_before_jobs_shared_them_are_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        old = {"spec": job("req-000005"), "at": 1.0, "block": 256}
+        await service._multi({"guards": [], "apply": [{"put": "lf/j/req-000005", "value": old}]})
+        await trio.sleep(1)
+        reply = await door(Request("GET", "/api/jobs/req-000005", b""))
+        assert reply is not None and reply.status == 200
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_job_that_is_decided_does_not_cost_the_others_their_record(monkeypatch: pytest.MonkeyPatch) -> None:
     async with trio.open_nursery() as nursery:
         door, service = await _door(monkeypatch, nursery)
