--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -17,6 +17,7 @@
 from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import SLACK, Machine
 
+SLOW_FETCH = 3.0  # of report_s, as long as a machine that is lost goes unnoticed: an image is worth keeping then
 REFUSED = 4.0  # of report_s: how long a refusal stands before the same is asked again; doubles each time
 REFUSED_MOST = 20.0  # of report_s
 LINGER = 0.7  # of the time to bring an equal machine back (boot, image): so long it may idle before it is returned
@@ -302,9 +303,15 @@
         self._asked_at = now
         excess = sum(one.kind.cpus for one in live) - AMPLE * max(asked, self._asked)
         result = []
-        # A replica that finds its image starts at once; what has none that may be asked for goes first.
+        # Where a fetch takes long, a replica that finds its image is up far sooner; what has none that may be asked for
+        # goes first. Where it is quick, to keep them only gathers the replicas in a few places, to be lost together.
         wanted = {stream[1] for stream in desk.outlook.latest if desk.outlook.rate(stream, now)}
-        warm = {one for one in live if not one.spot and not wanted.isdisjoint(one.cached)}
+        slow = SLOW_FETCH * desk.report_s
+        warm = {
+            one
+            for one in live
+            if not one.spot and any(one.kind.fetch_s(gb) > slow for image, gb in one.cached.items() if image in wanted)
+        }
         for machine in sorted(live, key=lambda one: (one.spot, one in warm, -one.kind.price, one.host)):
             if machine.claims or machine.idle_since is None or machine.host in self.keep:
                 continue
--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -90,3 +90,19 @@
     assert [machine.host for machine in planner.returns(40.0)] == ["idle"]
     stage.report(rungs=(rung(0, attempt),), now=40.0)
     assert [machine.host for machine in planner.returns(400.0)] == ["idle"], "a machine with work stays"
+
+
+def test_machines_with_an_image_that_is_slow_to_fetch_and_may_be_asked_for_are_returned_last() -> None:
+    """Daftar's day zone: replicas that had to move found their image nowhere but beside other replicas."""
+    stage = Stage()
+    for host in ("cold", "quick", "warm"):
+        stage.report(host)
+    for image, size in (("img-quick", 1.0), ("img-slow", 20.0)):
+        uid = "req-000001" if size > 1 else "req-000002"
+        stage.submit(uid, shape="daemon", rungs=1, bundle=image, sizeGb=size, owner="blue")
+        stage.tell(uid, "cancelled")
+    stage.machine("quick").cached = {"img-quick": 1.0}
+    stage.machine("warm").cached = {"img-slow": 20.0}
+    planner = Planner(stage.desk)
+    assert {machine.host for machine in planner.returns(8.0)} == {"cold", "quick"}
+    assert {machine.host for machine in planner.returns(40.0)} == {"cold", "quick", "warm"}
--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -60,7 +60,15 @@
 
     def due(self, job: Job, now: float) -> float | None:
         """When the job should be complete: the first of its aims that can still be met, None if there is none."""
-        earliest = now + self.run_s(job)
+        return self._aim(job, now + self.run_s(job))
+
+    def harmed(self, job: Job, ran_s: float, now: float) -> bool:
+        """Whether the job would miss an aim if a task that has run for so long had to begin anew."""
+        run = self.run_s(job)
+        return self._aim(job, now + max(0.0, run - ran_s)) != self._aim(job, now + run)
+
+    def _aim(self, job: Job, earliest: float) -> float | None:
+        """The first of its aims that allows for being complete then."""
         if job.spec.deadline_s is not None:
             aims = [times * job.spec.deadline_s for times in self.beyond]
         else:
--- a/ladderfield/foreman/room.py
+++ b/ladderfield/foreman/room.py
@@ -99,6 +99,12 @@
         for claim in self._clear(job, machines, borrowed, 1.0, min(job.queued, teams.owed(job.spec)), now, once=True):
             spare[claim.job.spec.team] -= claim.job.spec.cpus
 
+    def _loss(self, claim: Claim, now: float) -> float:
+        """The seconds that are lost if it has to begin anew; a run more where its job would then miss an aim."""
+        ran = now - (claim.running_at or now)
+        outlook = self.desk.outlook
+        return ran + (outlook.run_s(claim.job) if outlook.harmed(claim.job, ran, now) else 0.0)
+
     def _clear(
         self,
         job: Job,
@@ -117,7 +123,7 @@
                 if now < machine.hold_until or not placeable(job, machine):
                     continue
                 lower = {
-                    claim: now - (claim.running_at or now)
+                    claim: self._loss(claim, now)
                     for claim in machine.claims.values()
                     if claim.stopping is None and gives_way(claim)
                 }
--- a/ladderfield/foreman/test_outlook.py
+++ b/ladderfield/foreman/test_outlook.py
@@ -45,3 +45,12 @@
         outlook.arrived(make("req-000001", float(at), shape="daemon"))
     assert outlook.rate((spec.job_class, spec.image), 12.0) == 0.1
     assert outlook.rate((spec.job_class, spec.image), 200.0) == 0.0
+
+
+def test_work_is_harmed_by_beginning_anew_where_its_job_then_misses_an_aim() -> None:
+    """Daftar's calm day: replicas took room from arrays that were nearly done and then late."""
+    outlook = Outlook(settings())
+    due = make("req-000001", expectS=10.0, dueS=15.0)
+    assert not outlook.harmed(due, 3.0, 4.0), "there is time for both"
+    assert outlook.harmed(due, 8.0, 9.0)
+    assert not outlook.harmed(due, 3.0, 30.0), "late whatever happens"
