--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -29,7 +29,9 @@
 log = logging.getLogger(__name__)
 
 INBOX = 1.0  # of the sockets: every connection may bring a report at once, as a whole fleet does after a takeover
-COURIERS = 64  # pushes at once
+COURIERS = 64  # pushes at once, at most
+COURIERS_SHARE = 1 / 24  # of the sockets: the same
+KEPT_SHARE = 1 / 8  # of the sockets: connections to workers that are kept for the next push
 SLOW_SHARE = 0.5  # of them: for machines that may not answer
 ELECTION = 0.05  # of a foreman's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
@@ -140,7 +142,9 @@
         self._hires = 0
         self._deleting: set[str] = set()
         self._clients: dict[str, Client] = {}  # by host, those used last at the end
-        self._keep = max(COURIERS, settings.cluster.quota.max_connections // 8)
+        sockets = settings.cluster.quota.max_connections
+        self._couriers = max(2, min(COURIERS, int(sockets * COURIERS_SHARE)))
+        self._keep = int(sockets * KEPT_SHARE)
         self._txns, self._txn_inbox = trio.open_memory_channel[Txn](1)
 
     async def run(self, announce: Any) -> None:
@@ -235,14 +239,14 @@
         """Send couriers out. Machines that were not heard lately may let theirs wait long; these get only a part."""
         slow = sum(1 for silent in self._pushing.values() if silent)
         for host in list(self._to_push):
-            if len(self._pushing) >= COURIERS:
+            if len(self._pushing) >= self._couriers:
                 break
             machine = self.desk.machines.get(host)
             if machine is None or not machine.endpoint:
                 self._to_push.discard(host)
                 continue
             silent = self._doubtful(machine, now)
-            if host in self._pushing or (silent and slow >= COURIERS * SLOW_SHARE):
+            if host in self._pushing or (silent and slow >= self._couriers * SLOW_SHARE):
                 continue
             self._to_push.discard(host)
             if machine.relayed and not silent:
--- a/ladderfield/foreman/test_size.py
+++ b/ladderfield/foreman/test_size.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
+from ladderfield.fleet.cloud import Cloud
+from ladderfield.foreman.actor import Foreman
 from ladderfield.foreman.test_desk import Stage
+from ladderfield.leadership import Term
+from ladderfield.peers import back_most
 from ladderfield.queues.pick import Queues
+from ladderfield.server import USERS_SHARE
+from ladderfield.state import StateClient, View
+from ladderfield.testing import settings
 from ladderfield.workers.machine import Machine
 
 MACHINES = 400
+KEPT = 4  # connections that the clients of the state service and the cloud keep, each
 
 
 def crowd(monkeypatch: pytest.MonkeyPatch, jobs: int) -> tuple[Stage, dict[str, int]]:
@@ -53,6 +62,26 @@
     assert looked == {"room": 0, "queues": 0}
 
 
+@pytest.mark.parametrize(
+    ("sockets", "peers", "machines"), [(1648, 4, 930), (1935, 2, 902), (1200, 2, 48), (1500, 2, 72)]
+)
+async def test_sockets_suffice_for_the_fleet_the_users_and_the_other_controllers(
+    sockets: int, peers: int, machines: int
+) -> None:
+    """One foreman holds every worker's connection; no other use may take a worker's or a user's socket."""
+    own = settings()
+    quota = msgspec.structs.replace(own.cluster.quota, max_connections=sockets)
+    own = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, quota=quota))
+    client = StateClient(own)
+    foreman = Foreman(own, Term(7, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own))
+    front, back = int(sockets * USERS_SHARE), back_most(sockets)
+    assert machines + 100 <= front, "workers, and users beside them"
+    assert back // peers >= 16, "relays"
+    outward = foreman._keep + foreman._couriers + back // peers * peers
+    assert front + back + outward + 2 * KEPT + 2 <= sockets
+    assert foreman._most >= machines, "a whole fleet reports at once after a takeover"
+
+
 def test_large_jobs_begin_and_go_on_while_small_ones_keep_coming() -> None:
     """Least work first alone would let a large job wait for ever, and rank a low one: part of the room goes by age."""
     stage = Stage()
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -29,7 +29,7 @@
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH = 1, 2, 3
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
-BACK_SHARE = 1 / 12  # of the sockets: what the others may open to us, and so we to them all together
+BACK_SHARE = 1 / 16  # of the sockets: what the others may open to us, and so we to them all together
 
 
 def back_most(max_connections: int) -> int:
