--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -365,7 +365,7 @@
                     self.nursery.start_soon(client.drop)
 
     def _on_sole(self, message: Sole, now: float) -> None:
-        self.desk.sole(now)
+        self.desk.vigil.sole(now)
 
     def _on_tick(self, message: Tick, now: float) -> None:
         doomed = self.desk.sweep(now)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -17,6 +17,7 @@
 from ladderfield.foreman.pages import HOSTS, Page, Pages
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
+from ladderfield.foreman.vigil import SILENT, Vigil
 from ladderfield.jobs.model import (
     CANCELLED,
     DONE,
@@ -35,21 +36,13 @@
 from ladderfield.state import Change
 from ladderfield.teams import Teams
 from ladderfield.workers.machine import UNKNOWN, Machine
-from ladderfield.workers.report import ANSWER_S, NEXT_S
 
 log = logging.getLogger(__name__)
 
 # Ratios to the workers' pace.
-SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
 OVERDUE = 1.5  # of report_s: a report is missing, so no replica is put there and no room cleared for one
-LATEST = 1.25  # of report_s, the protocol: the longest between two reports
-LOST = 3.0  # of report_s: given up, and deleted so that its claims end
-LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
-DETOURS = 2.0  # of lease_s: how long machines that begin to be relayed show that their zone is cut off
-CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
-BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
 OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
 OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
@@ -69,14 +62,6 @@
     ) -> None:
         workers = settings.cluster.workers
         self.settings, self.epoch, self.term_from = settings, epoch, now
-        self.others_until = now + grace_s  # an earlier foreman may answer reports until then
-        # Where foremen before us stood: they may go on answering the workers there, whoever else has lost them.
-        self.zones_before = {
-            peer.location: before[peer.member] - wall + now
-            for peer in settings.peers
-            if before and peer.member in before
-        }
-        self.mostly_silent = False
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
         self.jobs: dict[str, Job] = {}
@@ -97,6 +82,7 @@
         self._attempts = 0
         self.outlook = Outlook(settings)
         self.sessions = Sessions(self)
+        self.vigil = Vigil(self, now + grace_s, before or {}, wall - now)
         self.room = RoomMaker(self)
         self.push: Callable[[Machine], None] = lambda machine: None
 
@@ -399,12 +385,6 @@
             machine.sick = True
             self.queues.withdraw(machine)
 
-    def sole(self, now: float) -> None:
-        """All other controllers have said, since our term began, that they are not foreman: no one else answers."""
-        if now < self.others_until:
-            log.info("epoch %d: no earlier foreman is left", self.epoch)
-            self.others_until = now
-
     def forget(self, host: str, now: float) -> None:
         """The machine is gone for good: its deletion was answered."""
         self.gone[host] = None
@@ -423,11 +403,10 @@
     def sweep(self, now: float) -> list[str]:
         """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
         doomed = []
-        cut = self._cut_zones(now)
+        self.vigil.look(now)
         for machine in self.machines.values():
-            silent = machine.silent_for(now, self.term_from)
             if machine.claims and now > machine.lease_over_at(
-                self.epoch, self.term_from, self.others_until, self.lease_s
+                self.epoch, self.term_from, self.vigil.others_until, self.lease_s
             ):
                 log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
                 self.queues.withdraw(machine)
@@ -436,7 +415,7 @@
             if machine.queue and not machine.usable(now, SILENT * self.report_s):
                 self.queues.withdraw(machine)
                 self.changed = True
-            why = self._doomed(machine, silent, machine.zone in cut, now)
+            why = self.vigil.why(machine, now)
             if why and not machine.deleting:
                 log.warning("machine %s: to be deleted: %s", machine.host, why)
                 machine.deleting = True
@@ -450,60 +429,6 @@
                 self.changed = True
         return doomed
 
-    def _cut_zones(self, now: float) -> set[str]:
-        """Zones where at least half of the machines, and more than one, are silent, or have lately begun to come by
-        way of another controller: then those that are silent are likely on such a way, or would be if there were one.
-        """
-        known: dict[str, list[int]] = {}
-        for machine in self.machines.values():
-            if machine.heard_at is not None or machine.claims:
-                count = known.setdefault(machine.zone, [0, 0])
-                count[0] += 1
-                silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
-                detour = machine.relayed and now - machine.detour_at < DETOURS * self.lease_s
-                count[1] += silent or detour or machine.deaf_since is not None
-        self.mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(every for every, _ in known.values())
-        return {zone for zone, (all_of_them, silent) in known.items() if silent > 1 and silent * 2 >= all_of_them}
-
-    def _doomed(self, machine: Machine, silent: float, cut: bool, now: float) -> str | None:
-        if machine.listed == "failed":
-            return "it failed"
-        booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
-        # that is relayed is sent to us now and then, and waits there before it goes the other way.
-        finding, alone = machine.fresh_at is None, self.others_until <= now
-        way = LATEST * self.report_s + ANSWER_S + 2 * NEXT_S
-        together = LOST_TOGETHER * self.lease_s
-        patience = LOST * self.report_s
-        if cut or (finding and not alone):
-            patience = max(patience, together)
-        elif finding or machine.relayed:
-            patience = max(patience, way)
-        if machine.up_at is None:
-            # A foreman before us may still be answering it; to delete what runs well would be our doing.
-            until = self.others_until if self.mostly_silent else self.zones_before.get(machine.zone, 0.0)
-            if min(until, self.others_until) > self.term_from:
-                few = alone and not cut and not self.mostly_silent
-                patience = min(until, self.others_until) - self.term_from + (way if few else together)
-        if booted and silent > patience:
-            return f"no sign that it is well for {silent:.1f} s"
-        if machine.deaf_since is not None:
-            # Its replicas go on until its lease is over; all else is better off elsewhere at once.
-            lasting = LOST_TOGETHER * self.lease_s if machine.replicas else 0.0
-            if now - machine.deaf_since > max(patience, lasting):
-                return "it does not hear us"
-        # A successor finds idle machines that have been up for long: they get the time to come to it.
-        found = now - self.term_from > LOST_TOGETHER * self.lease_s
-        if not booted and found and now - machine.born_at > BOOT * machine.kind.boot_s:
-            return "it never came up"
-        if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
-            return "it is sick"
-        for claim in machine.claims.values():
-            since = self.cancelled_at.get(claim.job.uid)
-            if since is not None and now - since > CANCEL_BY * self.cancel_s:
-                return f"it still holds {task_name(claim.task)}, which was cancelled"
-        return None
-
     def recalled(self, machine: Machine, now: float) -> None:
         """The cloud takes the machine back: nothing new for it, and what can't finish in time starts elsewhere."""
         self.queues.withdraw(machine)
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -238,7 +238,7 @@
 
 def test_the_wait_for_earlier_foremen_ends_when_all_others_say_they_follow() -> None:
     stage = Stage(inherited())
-    stage.desk.sole(3.0)
+    stage.desk.vigil.sole(3.0)
     stage.desk.sweep(3.0 + 12.0)
     assert stage.machine().claims, "but the lease itself may have been renewed until then"
     stage.desk.sweep(3.0 + 12.0 * CLOCKS + 0.01)
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -141,7 +141,7 @@
     job_key = {"lf/j/req-000001": (accepted(job(rungs=3)), 4)}
     stage = Stage(job_key | pages)
     assert stage.desk.sweep(30.0) == []
-    stage.desk.sole(31.0)
+    stage.desk.vigil.sole(31.0)
     assert stage.desk.sweep(40.0) == [], "their leases may have been renewed until then"
     assert sorted(stage.desk.sweep(41.0)) == ["a", "b", "c"], "nobody else answers them"
 
@@ -149,7 +149,7 @@
 def test_a_zone_that_an_earlier_foreman_may_hold_is_given_its_time() -> None:
     """Grown troubles: the zone was cut off with its foreman, and two takeovers later its machines were deleted."""
     one = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, {"n1": 1020.0})
-    assert one.zones_before == {"zb": 20.0}
+    assert one.vigil.zones_before == {"zb": 20.0}
     for host, zone in (("a", "za"), ("b", "zb"), ("c", "za"), ("d", "za"), ("e", "za")):
         machine = one.machines[host] = Machine(host, "10.9.0.1:90", UNKNOWN, zone, False, 0.0)
         if host in "cde":
@@ -224,6 +224,6 @@
         for host in "abcde":
             stage.report(host, now=now)
         assert ("m" in stage.desk.sweep(now)) is False, "another may still answer it"
-        stage.desk.sole(0.5)
+        stage.desk.vigil.sole(0.5)
         assert ("m" in stage.desk.sweep(now)) is doomed
-        stage.desk.others_until = 36.0
+        stage.desk.vigil.others_until = 36.0
--- /dev/null
+++ b/ladderfield/foreman/vigil.py
@@ -0,0 +1,107 @@
+"""Which machines are given up, and why: a wrong no costs time, a wrong yes kills work that runs well."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from ladderfield.queues.work import task_name
+from ladderfield.workers.machine import UNKNOWN, Machine
+from ladderfield.workers.report import ANSWER_S, NEXT_S
+
+if TYPE_CHECKING:
+    from ladderfield.foreman.desk import Desk
+
+log = logging.getLogger(__name__)
+
+SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
+LATEST = 1.25  # of report_s, the protocol: the longest between two reports
+LOST = 3.0  # of report_s: given up, and deleted so that its claims end
+LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
+DETOURS = 2.0  # of lease_s: how long machines that begin to be relayed show that their zone is cut off
+CANCEL_BY = 0.5  # of cancel_s: then a machine still holding a cancelled task is deleted
+BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
+
+
+class Vigil:
+    """Judges machines on the desk's tables."""
+
+    def __init__(self, desk: Desk, others_until: float, before: Mapping[str, float], wall_offset: float) -> None:
+        self.desk = desk
+        self.others_until = others_until  # an earlier foreman may answer reports until then
+        # Where foremen before us stood: they may go on answering the workers there, whoever else has lost them.
+        self.zones_before = {
+            peer.location: before[peer.member] - wall_offset for peer in desk.settings.peers if peer.member in before
+        }
+        self._mostly_silent = False
+        self._cut: set[str] = set()
+        # The longest way round a foreman that a worker can't reach: it waits for an answer and tries the next.
+        self._way = LATEST * desk.report_s + ANSWER_S + 2 * NEXT_S
+        self._together = LOST_TOGETHER * desk.lease_s
+
+    def sole(self, now: float) -> None:
+        """All other controllers have said, since our term began, that they are not foreman: no one else answers."""
+        if now < self.others_until:
+            log.info("epoch %d: no earlier foreman is left", self.desk.epoch)
+            self.others_until = now
+
+    def look(self, now: float) -> None:
+        """See which zones are cut off: at least half of the machines, and more than one, are silent, or have lately
+        begun to come by way of another controller. Then those that are silent are likely on such a way, or would be if
+        there were one."""
+        desk, known = self.desk, dict[str, list[int]]()
+        for machine in desk.machines.values():
+            if machine.heard_at is not None or machine.claims:
+                count = known.setdefault(machine.zone, [0, 0])
+                count[0] += 1
+                silent = machine.silent_for(now, desk.term_from) > SILENT * desk.report_s
+                detour = machine.relayed and now - machine.detour_at < DETOURS * desk.lease_s
+                count[1] += silent or detour or machine.deaf_since is not None
+        self._mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(one for one, _ in known.values())
+        self._cut = {zone for zone, (every, silent) in known.items() if silent > 1 and silent * 2 >= every}
+
+    def _patience(self, machine: Machine, now: float) -> float:
+        """How long the machine may be silent."""
+        term_from, cut, alone = self.desk.term_from, machine.zone in self._cut, self.others_until <= now
+        # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
+        # that is relayed is sent to us now and then, and waits there before it goes the other way.
+        finding = machine.fresh_at is None
+        patience = LOST * self.desk.report_s
+        if cut or (finding and not alone):
+            patience = max(patience, self._together)
+        elif finding or machine.relayed:
+            patience = max(patience, self._way)
+        if machine.up_at is None:
+            # A foreman before us may still be answering it; to delete what runs well would be our doing.
+            until = self.others_until if self._mostly_silent else self.zones_before.get(machine.zone, 0.0)
+            if min(until, self.others_until) > term_from:
+                few = alone and not cut and not self._mostly_silent
+                patience = min(until, self.others_until) - term_from + (self._way if few else self._together)
+        return patience
+
+    def why(self, machine: Machine, now: float) -> str | None:
+        """Why the machine has to go, or None."""
+        desk = self.desk
+        if machine.listed == "failed":
+            return "it failed"
+        silent, patience = machine.silent_for(now, desk.term_from), self._patience(machine, now)
+        booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
+        if booted and silent > patience:
+            return f"no sign that it is well for {silent:.1f} s"
+        if machine.deaf_since is not None:
+            # Its replicas go on until its lease is over; all else is better off elsewhere at once.
+            lasting = self._together if machine.replicas else 0.0
+            if now - machine.deaf_since > max(patience, lasting):
+                return "it does not hear us"
+        # A successor finds idle machines that have been up for long: they get the time to come to it.
+        found = now - desk.term_from > self._together
+        if not booted and found and now - machine.born_at > BOOT * machine.kind.boot_s:
+            return "it never came up"
+        if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
+            return "it is sick"
+        for claim in machine.claims.values():
+            since = desk.cancelled_at.get(claim.job.uid)
+            if since is not None and now - since > CANCEL_BY * desk.cancel_s:
+                return f"it still holds {task_name(claim.task)}, which was cancelled"
+        return None
