--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -707,3 +707,19 @@
         await trio.sleep(60)
         assert whole.foreman() == first
         assert len(whole.starts(uid)) == 4 and sum(whole.on().values()) == 4
+
+
+async def test_many_machines_that_are_cut_off_amid_an_election_go_on_as_before(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        uid = await whole.submit(shape="daemon", rungs=10, cores=4.0, owner="blue")
+        await whole.busy(uid)
+        await trio.sleep(20)
+        assert sum(whole.on().values()) == 10
+        away = [worker for worker in whole.cloud.workers.values() if worker.on()][::2]
+        whole.net.cut.update(worker.address for worker in away)
+        whole.crash(whole.foreman())
+        await trio.sleep(7)
+        whole.net.cut.difference_update(worker.address for worker in away)
+        await trio.sleep(30)
+        assert len(whole.starts(uid)) == 10 and sum(whole.on().values()) == 10
+        assert all(worker.tenure == 1 and not worker.dead for worker in away), "within their lease"
--- /dev/null
+++ b/ladderfield/test_leadership.py
@@ -0,0 +1,56 @@
+"""Standing still: a candidate and a foreman whose clocks ran on while they did nothing."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from ladderfield.fleet.cloud import Cloud
+from ladderfield.foreman.actor import Foreman, Reported
+from ladderfield.leadership import EPOCH, Leadership, Term
+from ladderfield.state import Change, Outcome, StateClient, View
+from ladderfield.testing import TYPES, accepted, job, settings
+from ladderfield.workers.report import Report, Rung
+
+
+@pytest.mark.parametrize(("stood_still_s", "elected"), [(0.1, True), (2.1, False)])
+async def test_a_candidate_that_stood_still_does_not_take_office(
+    monkeypatch: pytest.MonkeyPatch, stood_still_s: float, elected: bool
+) -> None:
+    """Its lease may be over, and it may have said meanwhile that it is not foreman: a successor counts on that."""
+    client = StateClient(settings())
+    leadership = Leadership(settings(), client, View(client, settings()))
+
+    async def grant(*_: Any) -> int:
+        return 1
+
+    async def commit(*_: Any) -> Outcome:
+        await trio.sleep(stood_still_s)
+        return Outcome(5, None)
+
+    monkeypatch.setattr(client, "grant", grant)
+    monkeypatch.setattr(client, "commit", commit)
+    term = await leadership._campaign()
+    assert (term is not None) is elected
+
+
+def _report(tick: int, epoch: int = 7) -> Report:
+    return Report("m", "10.9.0.1:90", "m4", "za", False, 1, tick, epoch, None, list[Rung]())
+
+
+async def test_a_foreman_that_stood_still_starts_nothing_and_answers_only_until_its_bound() -> None:
+    client = StateClient(settings())
+    foreman = Foreman(settings(), Term(7, 3, 1, 0.0, 2.0), client, View(client, settings()), Cloud(settings()))
+    foreman._push = lambda now: None  # type: ignore[method-assign]
+    foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
+    foreman.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
+    bound = 2.0 + foreman.grace
+    for now, answered, started in ((bound - 0.1, True, 0), (bound + 0.1, False, 0), (1.0, True, 1)):
+        message = Reported(_report(int(1000 - now)), False)
+        foreman.desk.sessions.report(_report(int(2000 - now)), now, answering=False)
+        foreman._on_report(message, now)
+        assert message.done.is_set() and (message.answer is not None) is answered
+        foreman._advance(now)
+        assert len(foreman.desk.machines["m"].claims) == started
