--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -202,7 +202,7 @@
             and machine.kind.cpus
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
-        jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.at))
+        jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.since))
         self._services([job for job in jobs if job.spec.service], plan, now)
         self._arrays([job for job in jobs if not job.spec.service], plan, now)
         self.keep = {room.host for room in plan.rooms if room.host and room.needed}
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -19,10 +19,11 @@
 from ladderfield.foreman.desk import OVERDUE, Desk
 from ladderfield.foreman.ledger import Ledger, Txn
 from ladderfield.http import Client, NoAnswer
-from ladderfield.jobs.model import TYPES, parse_types
+from ladderfield.jobs.chains import Chains
+from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.leadership import EPOCH, Term, grace_s
 from ladderfield.settings import Settings, address
-from ladderfield.state import Change, Outcome, StateClient, Unavailable, View
+from ladderfield.state import Change, Outcome, Refused, StateClient, Unavailable, View
 from ladderfield.workers.machine import Machine
 from ladderfield.workers.report import Report, parse_report
 
@@ -64,11 +65,12 @@
 
 
 class Committed:
-    """Our transaction was answered; ``stamps`` has what is on record where guards failed."""
+    """Our transaction was answered; ``stamps`` has what is on record where guards failed. No outcome: it was refused
+    for good."""
 
     __slots__ = ("outcome", "stamps", "txn")
 
-    def __init__(self, txn: Txn, outcome: Outcome, stamps: dict[str, int]) -> None:
+    def __init__(self, txn: Txn, outcome: Outcome | None, stamps: dict[str, int]) -> None:
         self.txn, self.outcome, self.stamps = txn, outcome, stamps
 
 
@@ -123,14 +125,16 @@
 class Foreman:
     """One term in office."""
 
-    def __init__(self, settings: Settings, term: Term, client: StateClient, view: View, cloud: Cloud) -> None:
+    def __init__(
+        self, settings: Settings, term: Term, client: StateClient, view: View, cloud: Cloud, chains: Chains
+    ) -> None:
         self.settings, self.term, self.client, self.view, self.cloud = settings, term, client, view, cloud
         workers = settings.cluster.workers
         self.report_s = workers.report_s
         self.grace = grace_s(settings)
         self._most = max(256, int(settings.cluster.quota.max_connections * INBOX))
         self.send, self.inbox = trio.open_memory_channel[Any](self._most)
-        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace, term.before)
+        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace, chains, term.before)
         self.desk.push = lambda machine: self._to_push.add(machine.host)
         self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
         self.planner = Planner(self.desk)
@@ -305,8 +309,10 @@
         self._writing = False
 
     def _on_committed(self, message: Committed, now: float) -> None:
-        if message.outcome.failed is None:
-            self.ledger.applied(message.txn, message.outcome.ledger)
+        if message.outcome is None:
+            self.ledger.refused(message.txn)
+        elif message.outcome.failed is None:
+            self.ledger.applied(message.txn, message.outcome.ledger, now)
         elif EPOCH in message.outcome.failed:
             self.term.end("another epoch is on record")
         else:
@@ -431,16 +437,21 @@
     async def _writer(self) -> None:
         pause = self.report_s / 10
         async for txn in self._txn_inbox:
+            stamps: dict[str, int] = {}
+            outcome: Outcome | None = None
             while True:
                 await self.client.foreman_calls.take()
                 await self.client.foreman_writes.take(txn.ops)
                 try:
                     outcome = await self.client.commit(txn.guards, txn.puts, txn.deletes, self.report_s)
-                    stamps: dict[str, int] = {}
                     for key in outcome.failed or []:
                         if key != EPOCH:
                             stamps[key] = await self.client.stamp(key, self.report_s)
                     break
+                except Refused as error:
+                    log.error("epoch %d: a write is refused for good: %s", self.term.epoch, error)
+                    await trio.sleep(pause)
+                    break
                 except Unavailable as error:
                     log.debug("epoch %d: a write waits: %s", self.term.epoch, error)
                     await trio.sleep(pause)
@@ -486,7 +497,8 @@
         """Keep the types (and prices) in the state service, so that a cloud outage doesn't stop intake."""
         while True:
             try:
-                kinds = await self.cloud.types()
+                most = self.settings.cluster.state.value_kb * 1024 * FULL
+                kinds = types_record(await self.cloud.types(), most)
                 if parse_types(kinds) and kinds != self.view.get(TYPES):
                     await self.client.foreman_writes.take()
                     await self.client.commit({EPOCH: self.term.stamp}, {TYPES: kinds}, [], self.report_s)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -18,6 +18,7 @@
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.foreman.vigil import SILENT, Vigil
+from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import (
     CANCELLED,
     DONE,
@@ -58,12 +59,14 @@
         now: float,
         wall: float,
         grace_s: float,
+        chains: Chains,
         before: Mapping[str, float] | None = None,
     ) -> None:
         workers = settings.cluster.workers
         self.settings, self.epoch, self.term_from = settings, epoch, now
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
+        self.chains = chains
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, None] = {}  # deleted machines: their late reports count for nothing
@@ -76,11 +79,12 @@
         self.unrecorded: dict[Claim, None] = {}
         self.unsettled: dict[Job, None] = {}
         self.complete: dict[Job, None] = {}
+        self.orphaned: dict[Job, None] = {}  # cancelled with a job that they wait for
         self.spent: dict[Record, None] = {}
         self.changed = True  # something since the last pass could let a task start
         self.firsts, self.eldest = Share(), Share()  # room for jobs that have waited for long
         self._attempts = 0
-        self.outlook = Outlook(settings)
+        self.outlook = Outlook(settings, self.wall_offset)
         self.sessions = Sessions(self)
         self.vigil = Vigil(self, now + grace_s, before or {}, wall - now)
         self.room = RoomMaker(self)
@@ -171,13 +175,50 @@
                 spec = msgspec.convert(entry["spec"], JobSpec)
                 job = self.jobs[uid] = Job(spec, entry["at"] - self.wall_offset, entry["block"])
                 self.outlook.arrived(job)
+                self._tie(job)
                 self.changed = True
             if all(one.key != key for one in job.records):
                 job.records.append(record)
                 record.live.add(uid)
 
+    def _tie(self, job: Job) -> None:
+        """What an accepted job waits for, and how urgent that makes the jobs before it."""
+        needs = job.spec.needs or ()
+        job.waits = self.chains.unmet(needs)
+        if needs:
+            job.since = max(job.at, self.chains.ready_at(needs) - self.wall_offset)
+        if self.chains.cancelled(job.uid):
+            self.orphaned[job] = None
+        self._hurry(job.uid)
+
+    def _hurry(self, uid: str) -> None:
+        """Jobs are as urgent as what waits for them."""
+        for one in (uid, *self.chains.all_before(uid)):
+            job = self.jobs.get(one)
+            if job is not None and one in self.chains:
+                rank, job.due = self.chains.urgency(one)
+                job.order = (rank,)
+
+    def _go_on(self, uid: str, phase: str, now: float) -> None:
+        """A job's end is on record: jobs that wait for it are ready if it was the last, or cancelled with it."""
+        for later in self.chains.all_after(uid) if phase == CANCELLED else self.chains.after(uid):
+            job = self.jobs.get(later)
+            if job is None or job.final is not None:
+                continue
+            if phase == CANCELLED:
+                self.orphaned[job] = None
+            elif uid in job.waits:
+                job.waits.discard(uid)
+                if not job.waits:
+                    log.info("job %s: ready, all that it waits for is done", job.uid)
+                    job.since, self.changed = now, True
+        if phase == CANCELLED:
+            self._hurry(uid)
+
     def _finalised(self, key: str, value: Any, now: float, loading: bool = False) -> None:
         job = self.jobs.get(key.removeprefix(FINAL))
+        if not loading:
+            self._go_on(key.removeprefix(FINAL), value["phase"], now)
         if job is None:
             return
         job.told = not loading  # its claims are yet to be read then
@@ -191,11 +232,17 @@
             self.stop(claim, "cancelled", now)
         self.finalised(job, value["phase"])
 
+    def decided(self, job: Job, phase: str, now: float) -> None:
+        """Our own write of the job's final state was answered."""
+        self.finalised(job, phase)
+        self._go_on(job.uid, phase, now)
+
     def finalised(self, job: Job, phase: str) -> None:
         """The job's final state is on record; no task of it starts any more."""
         job.final = phase
         self.queues.drop(job, self.machines.values())
         self.complete.pop(job, None)
+        self.orphaned.pop(job, None)
         self.unsettled.pop(job, None)
         self.pages.over(job)
         self._see_end(job)
@@ -245,6 +292,7 @@
         if done:
             job.finished.add(claim.index)
             job.unsettled.add(claim.index)
+            job.ended_at = now
             if job.final is None:
                 self.unsettled[job] = None
         elif job.final is None:
@@ -308,7 +356,7 @@
                         made += self._fill(machine, tier, score, now)
             if tier.owed:
                 for job in sorted(tier.jobs, key=lambda one: one.uid):
-                    if job.queued and now - job.at > OWED * self.report_s:
+                    if job.queued and now - job.since > OWED * self.report_s:
                         self.room.for_guarantee(job, machines, now)
         self.queues.rest()
         if made:
@@ -335,7 +383,7 @@
     def _deal(self, machines: list[Machine]) -> None:
         fit: dict[Shape, list[Machine]] = {}
         for job in self.jobs.values():
-            if job.final is None:
+            if job.final is None and not job.waits:
                 while job.next_block < job.blocks and job.queued + len(job.undealt) < job.block:
                     job.open_next()
                 if job.undealt:
@@ -356,8 +404,8 @@
         made = 0
         while (jobs := tier.eligible(machine, score, allowed, may_go)) and (pulled := self.queues.pull(machine, jobs)):
             job, index, owner = pulled
-            if index in job.claims or index in job.finished:
-                # Whatever the queues say: a task whose claim binds, or that is done, is never claimed again.
+            if index in job.claims or index in job.finished or job.waits:
+                # Whatever the queues say: a task whose claim binds, that is done, or whose job waits is never claimed.
                 log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
                 continue
             claim = self.claim(job, index, machine, owner, now)
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.pages import JOB_BYTES, TASK_BYTES, Page, encoded_size
+from ladderfield.foreman.pages import Page, encoded_size
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL
 from ladderfield.leadership import EPOCH
 from ladderfield.queues.work import Claim, Job, Record
@@ -19,12 +19,13 @@
 log = logging.getLogger(__name__)
 
 BYTES = 48 * 1024  # of the protocol's 64 KiB a transaction; the rest is for guards and framing
+LEAST_BYTES = 512  # what a page may hold however often the state service refuses
 
 
 class Txn:
     """One transaction, and what it will have recorded."""
 
-    __slots__ = ("deletes", "ended", "finals", "guards", "most", "pages", "puts", "size")
+    __slots__ = ("deletes", "ended", "finals", "guards", "most", "moved", "pages", "puts", "size")
 
     def __init__(self, epoch_stamp: int, most: int) -> None:
         self.most = most
@@ -32,7 +33,8 @@
         self.puts: dict[str, Any] = {}
         self.deletes: list[str] = []
         self.pages: dict[Page, tuple[list[Claim], dict[Job, set[int]]]] = {}
-        self.finals: list[Job] = []  # jobs that are called done here
+        self.moved: list[tuple[Page, list[Claim], dict[Job, set[int]]]] = []  # from pages that are too large
+        self.finals: dict[Job, str] = {}  # jobs whose final state is decided here
         self.ended: list[Record] = []  # records that are deleted here
         self.size = 0
 
@@ -60,20 +62,25 @@
         single tasks go along; without ``finished_too`` they don't cause a write of their own. What is over is
         cleared away with what is left of the changes.
         """
-        txn = Txn(self.epoch_stamp, min(most or self.most, self.most))
+        txn = Txn(self.epoch_stamp, max(1, min(most or self.most, self.most)))
         desk = self.desk
         for page in [page for page in desk.pages.pages if page.owing]:
             self._write(txn, page)
+        if any(page.owing for page in desk.pages.pages):
+            # What a write that failed had moved here may stand on record only on a page that would be written next.
+            return txn if txn.ops else None
         for job in list(desk.complete):
             if txn.left < 2 and (txn.left < 1 or desk.unrecorded):  # one is kept for a page of claims
                 break
-            txn.guards[FINAL + job.uid] = 0
-            txn.puts[FINAL + job.uid] = {"phase": DONE, "done": job.spec.tasks}
-            txn.finals.append(job)
+            ended = desk.term_from if job.ended_at is None else job.ended_at
+            self._decide(txn, job, {"phase": DONE, "done": job.spec.tasks, "at": round(ended + desk.wall_offset, 3)})
         ends = {job: job.unsettled for job in desk.unsettled if job not in txn.finals}
         if desk.unrecorded or (ends and (finished_too or txn.ops)):
             self._fill(txn, ends)
         if finished_too or txn.ops:
+            for job in list(desk.orphaned)[: txn.left]:
+                # Users are told so already, as it follows from what is on record.
+                self._decide(txn, job, {"phase": CANCELLED})
             for record in list(desk.spent)[: txn.left]:
                 txn.guards[record.key] = record.stamp
                 txn.deletes.append(record.key)
@@ -81,8 +88,17 @@
         if finished_too:
             for page in list(desk.pages.dirty):
                 self._write(txn, page)
+            if txn.left > 0 and txn.most == self.most and not desk.unrecorded:
+                self._move(txn)
         return txn if txn.ops else None
 
+    @staticmethod
+    def _decide(txn: Txn, job: Job, value: dict[str, Any]) -> None:
+        """A job's final state: only where there is none yet."""
+        txn.guards[FINAL + job.uid] = 0
+        txn.puts[FINAL + job.uid] = value
+        txn.finals[job] = value["phase"]
+
     def _fill(self, txn: Txn, ends: dict[Job, set[int]]) -> None:
         """Put new claims and ends of tasks on as few pages as they fit."""
         pages = self.desk.pages
@@ -94,7 +110,7 @@
                 page.add_claim(claim)
                 del self.desk.unrecorded[claim]
             for job in list(ends):
-                room = (pages.most - page.size - JOB_BYTES) // TASK_BYTES
+                room = page.room_for(job, pages.most)
                 if room <= 0:
                     break
                 part = sorted(ends[job])[:room]
@@ -106,17 +122,45 @@
                     self.desk.unsettled.pop(job, None)
             self._write(txn, page)
 
+    def _move(self, txn: Txn) -> None:
+        """Repeat on a small page what is left of one that is too large to be written: there it would stay for as long
+        as anything of it lives, and be read back by every successor. What goes on for long moves first; the rest ends
+        by itself meanwhile. The large page is written, or read as what it is, only after this stands."""
+        pages = self.desk.pages
+        large = pages.large()
+        if large is None or txn.size + pages.most > BYTES:
+            return
+        page = pages.roomiest(set(txn.pages))
+        claims: list[Claim] = []
+        done: dict[Job, set[int]] = {}
+        for claim in sorted(large.claims, key=lambda claim: not claim.job.spec.service):
+            if page.size + page.cost(claim) > pages.most:
+                break
+            large.drop_claim(claim)
+            page.add_claim(claim)
+            claims.append(claim)
+        for job in list(large.done):
+            part = sorted(large.done[job])[: max(0, page.room_for(job, pages.most))]
+            if part:
+                page.add_done(job, part)
+                large.drop_done(job, part)
+                done[job] = set(part)
+        txn.moved.append((large, claims, done))
+        pages.spoil(large)
+        self._write(txn, page)
+
     def _write(self, txn: Txn, page: Page) -> None:
-        if page in txn.pages or txn.left < 1 or txn.size + self.desk.pages.most > BYTES:
+        pages = self.desk.pages
+        if page in txn.pages or txn.left < 1 or txn.size + pages.most > BYTES or page.size > pages.most:
             return
         txn.guards[page.key] = page.stamp
         txn.puts[page.key] = page.value()
         txn.pages[page] = (list(page.claims), {job: set(tasks) for job, tasks in page.done.items()})
         txn.size += encoded_size(page)
         page.dirty = page.owing = False
-        self.desk.pages.dirty.discard(page)
+        pages.dirty.discard(page)
 
-    def applied(self, txn: Txn, ledger: int) -> None:
+    def applied(self, txn: Txn, ledger: int, now: float) -> None:
         """The transaction is on record."""
         desk = self.desk
         for page, (claims, done) in txn.pages.items():
@@ -128,9 +172,9 @@
                         desk.push(desk.machines[claim.host])
             for job, tasks in done.items():
                 job.unsettled -= tasks
-        for job in txn.finals:
-            log.info("job %s: done", job.uid)
-            desk.finalised(job, DONE)
+        for job, phase in txn.finals.items():
+            log.info("job %s: %s", job.uid, phase)
+            desk.decided(job, phase, now)
         for record in txn.ended:
             desk.spent.pop(record, None)
 
@@ -141,11 +185,38 @@
             page.stamp = stamps.get(page.key, page.stamp)
             page.owing = True
         for job in txn.finals:
-            if stamps.get(FINAL + job.uid) and job.final is None:
-                # Cancelled at the last moment, or done by our own earlier copy. Either way it is final; the view
-                # will say which, and all that is left here is to clear the job away.
-                self.desk.finalised(job, CANCELLED)
+            if stamps.get(FINAL + job.uid):
+                # Cancelled at the last moment, or done by our own earlier copy. Either way it is final, and the view
+                # says which: a guess would cancel, or start, what waits for it.
+                self.desk.complete.pop(job, None)
+                self.desk.orphaned.pop(job, None)
         for record in txn.ended:
             record.stamp = stamps.get(record.key, record.stamp)
             if record.stamp == 0:
                 self.desk.spent.pop(record, None)
+
+    def refused(self, txn: Txn) -> None:
+        """The state service will never take it, so its limits must be smaller than we were told. Nothing of it is on
+        record: it is put together anew, and smaller."""
+        desk, pages = self.desk, self.desk.pages
+        self.most = max(1, self.most // 2)
+        pages.most = max(LEAST_BYTES, pages.most // 2)
+        for large, moved, done in txn.moved:
+            for claim in moved:
+                if claim.page is not None and claim in claim.page.claims:
+                    claim.page.drop_claim(claim)
+                    large.add_claim(claim)
+            for job, tasks in done.items():
+                if job.final is None:
+                    large.add_done(job, tasks)
+        for page in {*txn.pages, *(page for page in pages.pages if page.owing)}:
+            page.owing = False
+            for claim in [claim for claim in page.claims if not claim.recorded]:
+                page.drop_claim(claim)
+                desk.unrecorded[claim] = None
+            for job in list(page.done):
+                again = page.done[job] & job.unsettled
+                page.drop_done(job, again)
+                if again and job.final is None:
+                    desk.unsettled[job] = None
+            pages.spoil(page)
--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -20,7 +20,8 @@
 class Outlook:
     """Learns from what arrives and what finishes."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, wall_offset: float = 0.0) -> None:
+        self.wall_offset = wall_offset  # time of day less our clock
         self.report_s = settings.cluster.workers.report_s
         self.bias: dict[str, float] = {}  # of a class: log of true over estimated run time
         self.arrivals: dict[Stream, deque[float]] = defaultdict(deque)  # of services
@@ -68,15 +69,15 @@
         return self._aim(job, now + max(0.0, run - ran_s)) != self._aim(job, now + run)
 
     def _aim(self, job: Job, earliest: float) -> float | None:
-        """The first of its aims that allows for being complete then."""
+        """The first of its aims, and of those of jobs that wait for it, that allows for being complete then."""
         if job.spec.deadline_s is not None:
-            aims = [times * job.spec.deadline_s for times in self.beyond]
+            aims = [job.at + times * job.spec.deadline_s for times in self.beyond]
         else:
-            aims = sorted(self.aims.get(job.spec.job_class, []))
-        for aim in aims:
-            if job.at + aim >= earliest:
-                return job.at + aim
-        return None
+            aims = [job.since + aim for aim in self.aims.get(job.spec.job_class, ())]
+        if job.due is not None:
+            until, allowed = job.due
+            aims += [until - self.wall_offset + (times - 1) * allowed for times in self.beyond]
+        return min((aim for aim in aims if aim >= earliest), default=None)
 
     def rating(self, job: Job, now: float) -> tuple[bool, int]:
         """For ordering: what can still be on time goes first, least work first, so that under overload as many jobs
@@ -89,11 +90,11 @@
 
     def old(self, job: Job, now: float) -> bool:
         """Whether an array has waited for so long that it is owed some of the room whatever else there is to do."""
-        return not job.spec.service and now - job.at > OLD * BEGIN_S
+        return not job.spec.service and now - job.since > OLD * BEGIN_S
 
     def age(self, job: Job) -> int:
-        """When it came, in steps."""
-        return int(job.at / (STEP * self.report_s))
+        """Since when it could run, in steps."""
+        return int(job.since / (STEP * self.report_s))
 
     def slack(self, job: Job, now: float) -> float:
         """How long the job's tasks may wait."""
--- a/ladderfield/foreman/pages.py
+++ b/ladderfield/foreman/pages.py
@@ -18,22 +18,27 @@
 from ladderfield.http import encode
 from ladderfield.jobs.model import FULL, page_key
 from ladderfield.queues.work import Claim, Job, ranges
+from ladderfield.workers.machine import Machine
 
 HOSTS = "hosts"  # no job is called that
-CLAIM_BYTES, TASK_BYTES, JOB_BYTES = 72, 16, 48  # the most that one takes in a page, names apart
+FRAME = 14  # bytes of a page beside its jobs
+ESCAPED = 6  # bytes that one character may take
+LEAST = FRAME + 80  # bytes of a page with one claim, its machine's names apart
 
 
 class Page:
     """One record."""
 
-    __slots__ = ("claims", "dirty", "done", "hosts", "number", "owing", "size", "stamp")
+    __slots__ = ("_ranges", "claims", "dirty", "done", "hosts", "jobs", "number", "owing", "size", "stamp")
 
     def __init__(self, number: int, stamp: int = 0) -> None:
         self.number, self.stamp = number, stamp
         self.claims: dict[Claim, None] = {}
         self.done: dict[Job, set[int]] = {}
         self.hosts: dict[str, int] = {}  # machines of these claims, and how many each has
-        self.size = 0  # an upper bound of the value's bytes, as it would be written now
+        self.jobs: dict[Job, int] = {}  # how many claims each has here, and one more if tasks of it are done
+        self._ranges: dict[Job, int] = {}  # the bytes of its finished ranges
+        self.size = FRAME  # an upper bound of the value's bytes, as it would be written now
         self.dirty = False  # the record still has what is no longer so
         self.owing = False  # it holds what is not on record, since a write of it failed
 
@@ -47,33 +52,63 @@
         self.size += self.cost(claim)
         self.claims[claim] = None
         self.hosts[claim.host] = self.hosts.get(claim.host, 0) + 1
+        self.jobs[claim.job] = self.jobs.get(claim.job, 0) + 1
         claim.page = self
 
     def cost(self, claim: Claim) -> int:
-        """The most bytes that the claim adds to the value."""
-        return CLAIM_BYTES + len(claim.host) + (0 if claim.host in self.hosts else host_bytes(claim))
+        """The bytes that the claim adds to the value."""
+        host = 0 if claim.host in self.hosts else host_bytes(claim)
+        return claim_bytes(claim) + host + (0 if claim.job in self.jobs else job_bytes(claim.job))
 
     def drop_claim(self, claim: Claim) -> None:
-        """It has ended."""
+        """It has ended, or moves to another page."""
         if self.claims.pop(claim, self) is None:
             self.hosts[claim.host] -= 1
             if not self.hosts[claim.host]:
                 del self.hosts[claim.host]
+            self._drop_job(claim.job)
             self.size -= self.cost(claim)
 
+    def _drop_job(self, job: Job) -> None:
+        self.jobs[job] -= 1
+        if not self.jobs[job]:
+            del self.jobs[job]
+
     def add_done(self, job: Job, tasks: Iterable[int]) -> None:
         """The ends of these tasks are to be kept here."""
         if job not in self.done:
-            self.size += JOB_BYTES
+            self.size += 0 if job in self.jobs else job_bytes(job)
+            self.jobs[job] = self.jobs.get(job, 0) + 1
         known = self.done.setdefault(job, set())
-        before = len(known)
         known.update(tasks)
-        self.size += (len(known) - before) * TASK_BYTES
+        self._measure(job, known)
+
+    def _measure(self, job: Job, known: set[int]) -> None:
+        size = len(encode(ranges(known)))
+        self.size += size - self._ranges.get(job, 0)
+        self._ranges[job] = size
+
+    def room_for(self, job: Job, most: int) -> int:
+        """How many ends of tasks would surely fit, in however many ranges."""
+        entry = 0 if job in self.jobs else job_bytes(job)
+        return (most - self.size - entry) // (2 * len(str(job.spec.tasks)) + 4)
 
     def drop_job(self, job: Job) -> None:
         """The job's final state is on record, which says it all."""
-        if job in self.done:
-            self.size -= len(self.done.pop(job)) * TASK_BYTES + JOB_BYTES
+        self.drop_done(job, self.done.get(job, ()))
+
+    def drop_done(self, job: Job, tasks: Iterable[int]) -> None:
+        """The ends of these tasks are not to be kept here any more."""
+        known = self.done.get(job)
+        if known is None:
+            return
+        known.difference_update(list(tasks))
+        self._measure(job, known)
+        if not known:
+            del self.done[job]
+            self.size -= self._ranges.pop(job)
+            self._drop_job(job)
+            self.size -= 0 if job in self.jobs else job_bytes(job)
 
     def value(self) -> dict[str, Any]:
         """The record: of each job its finished ranges (d) and claims (a: task -> attempt, machine), and of each of
@@ -93,8 +128,18 @@
 
 
 def host_bytes(claim: Claim) -> int:
-    """The most that what is said of its machine adds to a page."""
-    return len(claim.host) + 4 + sum(len(str(part)) + 3 for part in claim.about)
+    """What is said of a claim's machine takes so much on a page."""
+    return len(encode(claim.host)) + len(encode(claim.about)) + 2
+
+
+def claim_bytes(claim: Claim) -> int:
+    """A claim takes so much on a page that knows its job and machine."""
+    return len(str(claim.index)) + len(str(claim.attempt)) + len(encode(claim.host)) + 7
+
+
+def job_bytes(job: Job) -> int:
+    """A job takes so much on a page, claims and ranges apart."""
+    return len(job.uid) + 20
 
 
 class Pages:
@@ -102,6 +147,8 @@
 
     def __init__(self, value_kb: float) -> None:
         self.pages: list[Page] = []
+        # Pages from before the state service's limit fell may be larger. They are read, and written again once what
+        # is left of them fits; until then what changes goes on others.
         self.most = int(value_kb * 1024 * FULL)
         self.dirty: set[Page] = set()
 
@@ -112,6 +159,16 @@
         self.pages[number].stamp = stamp
         return self.pages[number]
 
+    def holds(self, machine: Machine) -> bool:
+        """Whether a claim for the machine fits a page at all, whatever it and its address are called."""
+        if ESCAPED * (2 * len(machine.host) + len(machine.endpoint) + len(machine.zone)) < self.most / 2:
+            return True
+        return 2 * len(encode(machine.host)) + len(encode(machine.about())) + LEAST < self.most
+
+    def large(self) -> Page | None:
+        """One that is too large to be written as it is: the one with least left on it."""
+        return min((page for page in self.pages if page.size > self.most), key=lambda page: page.size, default=None)
+
     def ended(self, claim: Claim, done: bool) -> None:
         """A claim no longer binds. Once the task's end is on record, its old claim says nothing; until then the page
         should be rewritten some time."""
@@ -129,7 +186,8 @@
     def over(self, job: Job) -> None:
         """The job is over: what pages say of its tasks no longer matters."""
         for page in self.pages:
-            page.drop_job(job)
+            if job in page.done:
+                page.drop_job(job)
 
     def roomiest(self, taken: set[Page]) -> Page:
         """The page that takes what is new: the one with the least live content, or a new one."""
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -73,6 +73,9 @@
             self.ignored(machine, 1, now)  # it was answered, but has not taken our epoch
         machine.tenure, machine.tick, machine.epoch = report.tenure, report.tick, report.epoch
         machine.endpoint = report.endpoint
+        if not machine.sick and not desk.pages.holds(machine):
+            log.warning("machine %s: its name or address is too long to be put on record", machine.host)
+            machine.sick = True
         if report.recall_s is not None and machine.recall_at is None:
             machine.recall_at = now + report.recall_s
             log.info("machine %s: taken back in %.1f s", machine.host, report.recall_s)
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -9,6 +9,7 @@
 from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.ledger import Ledger
 from ladderfield.foreman.pages import encoded_size
+from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import TYPES as TYPES_KEY
 from ladderfield.leadership import EPOCH, Term
 from ladderfield.state import Change
@@ -25,20 +26,30 @@
 
     def __init__(self, data: dict[str, Any] | None = None) -> None:
         self.pushed: list[str] = []
-        self.desk = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0)
+        self.on_record: dict[str, Any] = {TYPES_KEY: (TYPES, 1)} | (data or {})
+        self.chains = Chains(lambda key: self.on_record.get(key, (None, 0))[0])
+        self.desk = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, self.chains)
         self.desk.push = lambda machine: self.pushed.append(machine.host)
-        self.desk.load({TYPES_KEY: (TYPES, 1)} | (data or {}), 0.0)
+        for key, (value, stamp) in self.on_record.items():
+            self.chains.take(Change(key, value, stamp))
+        self.desk.load(self.on_record, 0.0)
         self.ledger = Ledger(self.desk, 3, 16)
         self.stamp = 10
         self.ticks: dict[str, int] = {}
 
     def submit(self, uid: str = "req-000001", **changes: Any) -> None:
         """A job appears in the state service."""
-        self.desk.take_changes([Change(f"lf/j/{uid}", accepted(job(uid, **changes), at=1000.0), 5)], 0.0)
+        self.appear(f"lf/j/{uid}", accepted(job(uid, **changes), at=1000.0), 5)
+
+    def appear(self, key: str, value: Any, stamp: int, now: float = 0.0) -> None:
+        """A key changes in the state service."""
+        self.on_record[key] = (value, stamp)
+        self.chains.take(Change(key, value, stamp))
+        self.desk.take_changes([Change(key, value, stamp)], now)
 
     def tell(self, uid: str = "req-000001", phase: str = "done") -> None:
         """The job's final state appears in the state service."""
-        self.desk.take_changes([Change(f"lf/f/{uid}", {"phase": phase, "at": 1000.0}, 9)], 0.0)
+        self.appear(f"lf/f/{uid}", {"phase": phase, "at": 1000.0}, 9)
 
     def report(
         self,
@@ -60,11 +71,11 @@
         self.desk.schedule(now)
         return self.desk.sessions.orders(machine, now, self.ticks[host])
 
-    def record(self) -> None:
+    def record(self, now: float = 1.0) -> None:
         """Everything due is written and answered."""
         while (txn := self.ledger.collect(True)) is not None:
             self.stamp += 1
-            self.ledger.applied(txn, self.stamp)
+            self.ledger.applied(txn, self.stamp, now)
 
     def machine(self, host: str = "m") -> Machine:
         return self.desk.machines[host]
@@ -101,11 +112,11 @@
     stage.report()
     txn = stage.ledger.collect(True)
     assert txn is not None and txn.guards == {EPOCH: 3, "lf/p/0": 0}
-    stage.ledger.applied(txn, 11)
+    stage.ledger.applied(txn, 11, 1.0)
     stage.report(rungs=(rung(0, stage.machine().claims["req-000001", 0].attempt, "exited", "done"),))
     txn = stage.ledger.collect(True)
     assert txn is not None and txn.guards == {EPOCH: 3, "lf/f/req-000001": 0}
-    stage.ledger.applied(txn, 12)
+    stage.ledger.applied(txn, 12, 1.0)
     assert stage.ledger.collect(True) is None, "a record that names the job may still come"
     stage.tell()
     txn = stage.ledger.collect(True)
@@ -122,7 +133,7 @@
     stage.tell("req-000001")
     txn = stage.ledger.collect(True)
     assert txn is not None and txn.deletes == ["lf/j/req-000001"]
-    stage.ledger.applied(txn, 12)
+    stage.ledger.applied(txn, 12, 1.0)
     # Read anew, a batch is not in the order of time: the end may stand before the record that names the job.
     late = Change("lf/j/req-000003", accepted(job("req-000003", rungs=1)), 13)
     stage.desk.take_changes([Change("lf/f/req-000003", {"phase": "done"}, 14), late], 0.0)
--- a/ladderfield/foreman/test_pages.py
+++ b/ladderfield/foreman/test_pages.py
@@ -143,7 +143,7 @@
     assert all(not claim.recorded for claim in stage.machine().claims.values())
     again = stage.ledger.collect(True)
     assert again is not None and again.guards["lf/p/0"] == 15
-    stage.ledger.applied(again, 16)
+    stage.ledger.applied(again, 16, 1.0)
     assert all(claim.recorded for claim in stage.machine().claims.values())
 
 
--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -16,9 +16,10 @@
 import trio
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import FINAL, FULL, JOB, jobs_on
+from ladderfield.jobs.chains import Chains
+from ladderfield.jobs.model import FINAL, FULL, JOB
 from ladderfield.settings import Settings
-from ladderfield.state import Change, StateClient, Unavailable, View
+from ladderfield.state import Refused, StateClient, Unavailable, View
 
 log = logging.getLogger(__name__)
 
@@ -36,30 +37,6 @@
     return len(encode(record)) + len(uid) + 4
 
 
-class Register:
-    """Which jobs are accepted, and on which records they stand; follows the view change by change."""
-
-    def __init__(self, view: View) -> None:
-        self._records: dict[str, list[str]] = {}  # record -> jobs
-        self._of: dict[str, list[str]] = {}  # job -> records
-        view.followers.append(self._take)
-
-    def __contains__(self, uid: str) -> bool:
-        return uid in self._of
-
-    def _take(self, change: Change) -> None:
-        if not change.key.startswith(JOB):
-            return
-        for uid in self._records.pop(change.key, ()):
-            self._of[uid].remove(change.key)
-            if not self._of[uid]:
-                del self._of[uid]
-        if change.value is not None:
-            uids = self._records[change.key] = list(jobs_on(change.key, change.value))
-            for uid in uids:
-                self._of.setdefault(uid, []).append(change.key)
-
-
 class Wanted:
     """A job that is to be put on record, and what became of it."""
 
@@ -76,8 +53,8 @@
 class Acceptor:
     """The one writer of a front door's submissions."""
 
-    def __init__(self, settings: Settings, client: StateClient, view: View, register: Register, wait_s: float) -> None:
-        self.client, self.view, self.register, self.wait_s = client, view, register, wait_s
+    def __init__(self, settings: Settings, client: StateClient, view: View, chains: Chains, wait_s: float) -> None:
+        self.client, self.view, self.chains, self.wait_s = client, view, chains, wait_s
         state = settings.cluster.state
         self.most_bytes = min(state.value_kb * 1024, TXN_BYTES) * FULL - FRAME
         self.most_jobs = GUARDS * state.txn_ops - 1
@@ -135,6 +112,13 @@
         value = {"jobs": {wanted.uid: wanted.record for wanted in batch}}
         try:
             outcome = await self.client.commit(guards, {key: value}, [], self.wait_s * ANSWER)
+        except Refused as error:
+            # It would be refused again. Less of it may not be; a job that stands alone is the caller's to think over.
+            log.error("%d jobs can't be written: %s", len(batch), error)
+            self.most_jobs = max(1, len(batch) // 2)
+            if len(batch) == 1:
+                self._answer(batch[0], None)
+            return
         except Unavailable as error:
             log.debug("%d jobs not written yet: %s", len(batch), error)
             if trio.current_time() - self.client.answered_at < self.wait_s * HOPEFUL:
@@ -153,7 +137,7 @@
         with trio.move_on_after(self.wait_s * ANSWER):
             await self.view.reach(outcome.ledger)
         for wanted in batch:
-            if FINAL + wanted.uid in outcome.failed or key == JOB + wanted.uid or wanted.uid in self.register:
+            if FINAL + wanted.uid in outcome.failed or key == JOB + wanted.uid or wanted.uid in self.chains:
                 self._answer(wanted, outcome.ledger)
 
     def _answer(self, wanted: Wanted, known_at: int | None) -> None:
--- /dev/null
+++ b/ladderfield/jobs/chains.py
@@ -0,0 +1,192 @@
+"""Jobs that wait for others: which are ready, which are cancelled with another, what rank and due time each inherits.
+
+All of it is derived from what is on record, so every controller comes to the same answer with no foreman:
+
+- a job is ready once the final record of every job that it needs says done. That record is decided once and for good,
+  so a job behind a cancelled one can never have had a task;
+- it is cancelled if it, or any job it needs, directly or through others, has a final record that says so;
+- it is as urgent as the most urgent job that waits for it, as long as that one is not over.
+
+Nothing here is recursive, and what a question costs does not depend on how long a chain is: the answers are kept up to
+date change by change.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL, JOB, PRODUCTION, RANKS, URGENT, jobs_on
+from ladderfield.state import Change
+
+log = logging.getLogger(__name__)
+
+STEPS = 8  # for each job on record: more can't be needed to pass urgency on, unless records contradict each other
+
+
+class Link:
+    """A job that is not over, among those it needs and those that need it."""
+
+    __slots__ = ("due", "needs", "own", "rank", "records", "run_s", "service")
+
+    def __init__(self, spec: dict[str, Any], at: float) -> None:
+        self.needs: tuple[str, ...] = tuple(spec.get("waitsOn") or ())
+        self.service = spec["shape"] == "daemon"
+        self.run_s = float(spec["expectS"])
+        due = spec.get("dueS")
+        # Its own rank and due time, the latter as (time of day, seconds from submission).
+        self.own: tuple[int, tuple[float, float] | None] = (
+            RANKS[spec["rank"]],
+            None if due is None else (at + due, due),
+        )
+        self.rank, self.due = self.own  # the same with what it inherits
+        self.records: set[str] = set()
+
+
+class Chains:
+    """Follows the records of jobs and of their ends; ``get`` reads a record's present value."""
+
+    def __init__(self, get: Callable[[str], Any]) -> None:
+        self._get = get
+        self._links: dict[str, Link] = {}
+        self._on: dict[str, list[str]] = {}  # record -> jobs
+        self._after: dict[str, dict[str, None]] = {}  # job -> those that name it
+        self._doomed: set[str] = set()  # cancelled with another, without a final record of their own yet
+
+    def take(self, change: Change) -> None:
+        """A record changed."""
+        if change.key.startswith(JOB):
+            for uid in self._on.pop(change.key, ()):
+                self._gone(uid, change.key)
+            if change.value is not None:
+                jobs = jobs_on(change.key, change.value)
+                self._on[change.key] = list(jobs)
+                for uid, entry in jobs.items():
+                    self._accepted(uid, entry, change.key)
+        elif change.key.startswith(FINAL) and change.value is not None:
+            uid = change.key.removeprefix(FINAL)
+            self._doomed.discard(uid)
+            if change.value["phase"] == CANCELLED:
+                self._doom(self._after.get(uid, ()))
+            link = self._links.get(uid)
+            if link is not None:
+                self._press(link.needs)  # it needs them no more
+
+    def _accepted(self, uid: str, entry: dict[str, Any], record: str) -> None:
+        link = self._links.get(uid)
+        if link is None:
+            link = self._links[uid] = Link(entry["spec"], entry["at"])
+            for need in link.needs:
+                self._after.setdefault(need, {})[uid] = None
+            if any(self.cancelled(need) for need in link.needs):
+                self._doom([uid])
+            if link.needs or uid in self._after:
+                self._press([uid, *link.needs])
+        link.records.add(record)
+
+    def _gone(self, uid: str, record: str) -> None:
+        """A record no longer names it: it is over, unless another record does."""
+        link = self._links[uid]
+        link.records.discard(record)
+        if link.records:
+            return
+        del self._links[uid]
+        self._doomed.discard(uid)
+        for need in link.needs:
+            after = self._after[need]
+            after.pop(uid, None)
+            if not after:
+                del self._after[need]
+
+    def _doom(self, uids: Iterable[str]) -> None:
+        """These are cancelled, and with them all that wait for them."""
+        work = deque(uids)
+        while work:
+            uid = work.popleft()
+            if uid not in self._doomed and uid in self._links and self._phase(uid) is None:
+                self._doomed.add(uid)
+                work.extend(self._after.get(uid, ()))
+
+    def _press(self, uids: Iterable[str]) -> None:
+        """Work out anew how urgent these are and, where that changes, those that they need."""
+        work = deque(uids)
+        for _ in range(STEPS * (len(self._links) + STEPS)):
+            if not work:
+                return
+            uid = work.popleft()
+            link = self._links.get(uid)
+            if link is None:
+                continue
+            rank, due = link.own
+            for later in self._after.get(uid, ()):
+                other = self._links.get(later)
+                if other is None or self._phase(later) is not None:
+                    continue
+                rank = min(rank, max(other.rank, RANKS[URGENT])) if rank > RANKS[PRODUCTION] else rank
+                if other.due is not None:
+                    before = (other.due[0] - other.run_s, other.due[1])
+                    due = before if due is None else min(due, before)
+            if (rank, due) != (link.rank, link.due):
+                link.rank, link.due = rank, due
+                work.extend(link.needs)
+        log.warning("jobs wait for each other in a circle: %s", ", ".join(list(work)[:4]))
+
+    def _phase(self, uid: str) -> str | None:
+        record = self._get(FINAL + uid)
+        return None if record is None else record["phase"]
+
+    # -- questions -----------------------------------------------------------------------------------------------
+
+    def __contains__(self, uid: str) -> bool:
+        """Whether the job stands on a record: it is accepted, and not yet cleared away."""
+        return uid in self._links
+
+    def unknown(self, needs: Iterable[str]) -> str | None:
+        """One of these that was never accepted, as far as is known here."""
+        return next((uid for uid in needs if uid not in self._links and self._phase(uid) is None), None)
+
+    def service(self, uid: str) -> bool:
+        """Whether it is a service that goes on, which can never be waited for."""
+        link = self._links.get(uid)
+        return link is not None and link.service and self._phase(uid) is None
+
+    def cancelled(self, uid: str) -> bool:
+        """Whether the job is cancelled, or with another that it needs."""
+        return uid in self._doomed or self._phase(uid) == CANCELLED
+
+    def unmet(self, needs: Iterable[str]) -> set[str]:
+        """Those of the needed jobs that are not, on record, done."""
+        return {uid for uid in needs if self._phase(uid) != DONE}
+
+    def ready_at(self, needs: Iterable[str]) -> float:
+        """When the last of these ended, as time of day; 0 if nothing tells."""
+        return max((record.get("at", 0.0) for uid in needs if (record := self._get(FINAL + uid))), default=0.0)
+
+    def urgency(self, uid: str) -> tuple[int, tuple[float, float] | None]:
+        """The rank and the due time that a job has for those that wait for it."""
+        link = self._links[uid]
+        return link.rank, link.due
+
+    def after(self, uid: str) -> list[str]:
+        """The jobs that name this one."""
+        return list(self._after.get(uid, ()))
+
+    def all_after(self, uid: str) -> Iterator[str]:
+        """All that wait for the job, directly or through others."""
+        return self._walk(uid, self.after)
+
+    def all_before(self, uid: str) -> Iterator[str]:
+        """All on record that the job waits for, directly or through others."""
+        return self._walk(uid, lambda one: self._links[one].needs if one in self._links else ())
+
+    @staticmethod
+    def _walk(uid: str, step: Callable[[str], Iterable[str]]) -> Iterator[str]:
+        seen, work = {uid}, deque(step(uid))
+        while work:
+            one = work.popleft()
+            if one not in seen:
+                seen.add(one)
+                yield one
+                work.extend(step(one))
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -16,11 +16,13 @@
 import trio
 
 from ladderfield.http import Reply, Request
-from ladderfield.jobs.accept import Acceptor, Register, record_size
+from ladderfield.jobs.accept import Acceptor, record_size
+from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import (
     CANCELLED,
     FINAL,
     TYPES,
+    JobSpec,
     Malformed,
     block_size,
     impossible,
@@ -30,6 +32,7 @@
     valid_uid,
 )
 from ladderfield.peers import PeerLink
+from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, Unavailable, View
 
@@ -44,15 +47,20 @@
     """Answers users on this controller."""
 
     def __init__(
-        self, settings: Settings, client: StateClient, view: View, links: Mapping[str, PeerLink] | None = None
+        self,
+        settings: Settings,
+        client: StateClient,
+        view: View,
+        chains: Chains,
+        rollout: Rollout,
+        links: Mapping[str, PeerLink] | None = None,
     ) -> None:
-        self.client, self.view, self.links = client, view, links or {}
+        self.client, self.view, self.chains, self.rollout, self.links = client, view, chains, rollout, links or {}
         self.state_ok = True  # whether the state service serves us; kept by the controller's health check
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.block = block_size(settings.cluster.state.value_kb)
         # Each stage is small and tells those it can't take at once.
-        self.register = Register(view)
-        self.acceptor = Acceptor(settings, client, view, self.register, SUBMIT_S)
+        self.acceptor = Acceptor(settings, client, view, chains, SUBMIT_S)
         self.room = max(4, int(settings.cluster.quota.max_connections / 16))
         self.busy = 0
         self._types: tuple[int, dict] = (-1, {})
@@ -113,8 +121,8 @@
         if (final := self._final(uid)) is not None:
             return final
         kinds = self.types()
-        why = impossible(spec, kinds, self.teams) if kinds else "unknown types"
-        if uid in self.register or why is not None:
+        why = (impossible(spec, kinds, self.teams) if kinds else "unknown types") or self._hopeless(spec)
+        if uid in self.chains or why is not None:
             # Known already, or to be refused: both need the proof that nothing newer says otherwise.
             if not await self.view.fresh(SUBMIT_S * SPARE):
                 return busy(1)
@@ -123,8 +131,11 @@
                 return known
             if not kinds:
                 return busy(2)
+            why = impossible(spec, kinds, self.teams) or self._hopeless(spec)
             if why is not None:
                 return Reply(422, {"error": why})
+        if spec.needs and not self.rollout.complete:
+            return busy(2)  # an older version would start its tasks too early
         record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
         if record_size(uid, record) > self.acceptor.most_bytes:
             return Reply(400, {"error": "its description is too large to be put on record"})
@@ -135,19 +146,31 @@
                 "job %s: accepted, %s of %s, %d tasks, expects %.0f s, due %s",
                 uid, spec.job_class, spec.team, spec.tasks, spec.estimate_s, spec.deadline_s,
             )  # fmt: skip
-            return Reply(201, {"uid": uid, "phase": "queued"})
+            cancelled = any(self.chains.cancelled(need) for need in spec.needs or ())
+            return Reply(201, {"uid": uid, "phase": CANCELLED if cancelled else "queued"})
         if wanted.known_at:
             with trio.move_on_at(until):
                 await self.view.reach(wanted.known_at)
                 return self._state(uid) or busy(1)
         return busy(1)
 
+    def _hopeless(self, spec: JobSpec) -> str | None:
+        """Why what the job waits for can never be done, as far as the view tells."""
+        needs = spec.needs or ()
+        unknown = self.chains.unknown(needs)
+        if unknown is not None:
+            return f"{unknown}, which it waits for, was never accepted"
+        endless = next((uid for uid in needs if self.chains.service(uid)), None)
+        return None if endless is None else f"{endless}, which it waits for, is a service"
+
     def _hopeful(self) -> bool:
         """Whether the state service answered lately: asking it again within this request may help."""
         return trio.current_time() - self.client.answered_at < SUBMIT_S / 5
 
     def _final(self, uid: str) -> Reply | None:
         record = self.view.get(FINAL + uid)
+        if record is None and self.chains.cancelled(uid):
+            record = {"phase": CANCELLED}  # with another, for good: whatever it needs can never be done any more
         if record is None:
             return None
         return Reply(200, {"uid": uid, "phase": record["phase"], "done": record.get("done", 0), "running": 0})
@@ -156,7 +179,7 @@
         """The job's state in the view, or None if it isn't there."""
         if (final := self._final(uid)) is not None:
             return final
-        if uid not in self.register:
+        if uid not in self.chains:
             return None
         done = set[int]()
         claimed = set[str]()
@@ -188,7 +211,7 @@
         while trio.current_time() < until:
             if (final := self._final(uid)) is not None:
                 return final
-            if uid not in self.register:
+            if uid not in self.chains:
                 if not await self.view.fresh(until - trio.current_time()):
                     return busy(1)
                 if self._state(uid) is None:
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import re
 from collections.abc import Mapping
@@ -9,8 +10,11 @@
 
 import msgspec
 
+from ladderfield.http import encode
 from ladderfield.settings import Team
 
+log = logging.getLogger(__name__)
+
 JOB = "lf/j/"  # accepted jobs, named after the first; deleted once all are over and nothing of them is on any machine
 FINAL = "lf/f/"  # its final state; kept for good
 PAGE = "lf/p/"  # claims and finished ranges, of many jobs in one record
@@ -27,7 +31,7 @@
 Amount = Annotated[float, msgspec.Meta(ge=0, le=_MOST)]
 
 
-class JobSpec(msgspec.Struct, frozen=True):
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a user submits."""
 
     uid: str
@@ -50,6 +54,7 @@
     types: list[str] | None = msgspec.field(name="flavours", default=None)
     zone: str | None = msgspec.field(name="yard", default=None)
     deadline_s: Amount | None = msgspec.field(name="dueS", default=None)
+    needs: list[str] | None = msgspec.field(name="waitsOn", default=None)  # jobs that have to be done first
 
     @property
     def service(self) -> bool:
@@ -88,7 +93,12 @@
         raise Malformed(str(error)) from None
     if not valid_uid(spec.uid):
         raise Malformed("not a job id - at `$.uid`")
-    return spec
+    if not spec.needs:
+        return msgspec.structs.replace(spec, needs=None)
+    for uid in spec.needs:
+        if not valid_uid(uid) or uid == spec.uid:
+            raise Malformed("not the ids of other jobs - at `$.waitsOn`")
+    return msgspec.structs.replace(spec, needs=list(dict.fromkeys(spec.needs)))
 
 
 def valid_uid(uid: str) -> bool:
@@ -138,6 +148,17 @@
     return math.ceil(tasks / size)
 
 
+def types_record(value: Any, most_bytes: float) -> Any:
+    """The cloud's machine types as they can be put on record: whole, or else only what is read of them, or else as many
+    as there is room for."""
+    if len(encode(value)) <= most_bytes:
+        return value
+    kept = [msgspec.to_builtins(kind) for kind in parse_types(value).values()]
+    while kept and len(encode(kept)) > most_bytes:
+        log.error("machine type %s is left out: too many for a record", kept.pop()["name"])
+    return kept
+
+
 def parse_types(value: Any) -> dict[str, MachineType]:
     """Machine types from the cloud's answer or our copy of it; what can't be read is left out."""
     kinds = {}
--- a/ladderfield/jobs/test_jobs.py
+++ b/ladderfield/jobs/test_jobs.py
@@ -9,8 +9,10 @@
 import trio
 
 from ladderfield.http import Client, Request
+from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.door import Door
 from ladderfield.jobs.model import JobSpec, Malformed, impossible, parse, parse_types
+from ladderfield.rollout import Rollout
 from ladderfield.settings import Team
 from ladderfield.state import StateClient, View
 from ladderfield.testing import TYPES, Net, StateService, job, settings
@@ -78,7 +80,9 @@
     view = View(client, settings())
     nursery.start_soon(view.run)
     nursery.start_soon(view.run_reads)
-    door = Door(settings(), client, view)
+    chains, rollout = Chains(view.get), Rollout(settings(), client, view)
+    view.followers.append(chains.take)
+    door = Door(settings(), client, view, chains, rollout)
     nursery.start_soon(door.acceptor.run)
     await trio.sleep(0.1)
     return door, service
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -13,6 +13,8 @@
 
 import trio
 
+from ladderfield.http import encode
+from ladderfield.jobs.model import FULL
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.machine import CLOCKS
@@ -26,6 +28,7 @@
 # How long a foreman that cannot renew its lease goes on answering reports, as a ratio of the workers' lease. It
 # spans an outage of the state service; a successor adds it before it calls an unheard machine's lease expired.
 GRACE = 3.0
+RECORD = 64  # bytes of the epoch's record beside names
 TTL = 1.0  # of report_s: a crash costs about one round of reports
 
 
@@ -108,6 +111,10 @@
         if record.get("member"):
             earlier[record["member"]] = round(now + self.grace, 3)
         earlier.pop(self.settings.member, None)
+        # A hint must not keep the epoch from being raised: what makes the record too large is left out.
+        most = self.settings.cluster.state.value_kb * 1024 * FULL - RECORD
+        while len(encode(earlier)) + len(encode(self.settings.member)) > most:
+            del earlier[min(earlier, key=lambda member: (earlier[member], member))]
         return earlier
 
     async def run(self, terms: trio.MemorySendChannel[Term]) -> None:
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -103,6 +103,8 @@
         "block",
         "blocks",
         "claims",
+        "due",
+        "ended_at",
         "errors",
         "failed_hosts",
         "final",
@@ -115,16 +117,22 @@
         "queued",
         "records",
         "shape",
+        "since",
         "spec",
         "told",
         "uid",
         "undealt",
         "unsettled",
+        "waits",
         "zones",
     )
 
     def __init__(self, spec: JobSpec, at: float, block: int) -> None:
         self.spec, self.uid, self.at, self.block = spec, spec.uid, at, block
+        self.waits: set[str] = set()  # jobs it needs that are not, on record, done: until then it is nothing but queued
+        self.since = at  # when the last of them was done: from then on its wait counts
+        self.due: tuple[float, float] | None = None  # time of day, and seconds allowed, for those that wait for it
+        self.ended_at: float | None = None  # when its last task ended
         self.records: list[Record] = []  # one, or more after a retry at another door
         self.final: str | None = None  # once on record
         self.told = False  # the view has told so too; all records that name the job came before that
@@ -141,7 +149,7 @@
         self.not_before = 0.0
         self.held: dict[str, float] = {}  # machines being cleared for its tasks, and until when
         self.finished_s: list[float] = []  # run times seen
-        self.order = (RANKS[spec.rank],)
+        self.order = (RANKS[spec.rank],)  # or that of a job that waits for it
         types = None if spec.types is None else tuple(spec.types)
         # All that decides whether a task of it fits a machine and its team's account.
         self.shape: Shape = (spec.team, spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone, types)
@@ -164,8 +172,8 @@
 
     @property
     def waiting(self) -> int:
-        """Tasks neither done nor claimed."""
-        return self.spec.tasks - self.done - len(self.claims)
+        """Tasks neither done nor claimed that may start."""
+        return 0 if self.waits else self.spec.tasks - self.done - len(self.claims)
 
     def open_next(self) -> bool:
         """Bring the next block's free tasks into play; False if there is none left."""
--- /dev/null
+++ b/ladderfield/rollout.py
@@ -0,0 +1,58 @@
+"""What a new version may ask of the others: nothing that one of them doesn't understand yet.
+
+A version of this program says on record, once and for good, what it understands. Only when every controller in the
+settings has said so may anything be put on record that an older version would take wrongly: jobs that wait for others,
+whose tasks it would start too early. Once known it stays known, as the records stay. What every version understands is
+in docs/design.md, "Versions side by side".
+"""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from ladderfield.settings import Settings
+from ladderfield.state import StateClient, Unavailable, View
+
+log = logging.getLogger(__name__)
+
+VERSION = "lf/v/"  # a controller, and what its program understands
+LEVEL = 1  # jobs that wait for others
+
+
+class Rollout:
+    """Says that this version is here, and knows whether it is everywhere."""
+
+    def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
+        self.client, self.view = client, view
+        self.key = VERSION + settings.member
+        self.keys = [self.key, *(VERSION + peer.member for peer in settings.peers)]
+        self.pause = settings.cluster.workers.report_s / 4
+        self._complete = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether every controller understands what this one does."""
+        if not self._complete:
+            self._complete = all(self._level(key) >= LEVEL for key in self.keys)
+        return self._complete
+
+    def _level(self, key: str) -> int:
+        value = self.view.get(key)
+        level = value.get("level") if isinstance(value, dict) else None
+        return level if isinstance(level, int) else 0
+
+    async def run(self) -> None:
+        """Put it on record as soon as there is a view, and look after it."""
+        while True:
+            if self.view.synced and self._level(self.key) < LEVEL:
+                try:
+                    await self.client.writes.take(urgent=True)
+                    guards = {self.key: self.view.stamp(self.key)}
+                    outcome = await self.client.commit(guards, {self.key: {"level": LEVEL}}, [], self.pause * 4)
+                    with trio.move_on_after(self.pause * 4):
+                        await self.view.reach(outcome.ledger)
+                except Unavailable as error:
+                    log.debug("version not told yet: %s", error)
+            await trio.sleep(self.pause / 4 if not self.view.synced else self.pause)
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -11,10 +11,12 @@
 from ladderfield.fleet.cloud import Cloud, CloudTrouble
 from ladderfield.foreman.actor import Foreman, Sole
 from ladderfield.http import Reply, Request, Server
+from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.door import SUBMIT_S, Door
-from ladderfield.jobs.model import TYPES, parse_types
+from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import HEALTH, RELAY, SELF, BackServer, PeerLink, back_most
+from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.intake import ReportDesk
@@ -36,7 +38,10 @@
         self.leadership = Leadership(settings, self.client, self.view)
         at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
         self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
-        self.door = Door(settings, self.client, self.view, self.links)
+        self.chains = Chains(self.view.get)
+        self.view.followers.append(self.chains.take)
+        self.rollout = Rollout(settings, self.client, self.view)
+        self.door = Door(settings, self.client, self.view, self.chains, self.rollout, self.links)
         self.reports = ReportDesk(settings, self.leadership, self.links)
 
     async def handle(self, request: Request) -> Reply:
@@ -80,7 +85,7 @@
         """Be foreman whenever this controller is elected."""
         async for term in terms:
             try:
-                await Foreman(self.settings, term, self.client, self.view, self.cloud).run(self._announce)
+                await Foreman(self.settings, term, self.client, self.view, self.cloud, self.chains).run(self._announce)
             except Exception:
                 log.exception("epoch %d: the foreman failed", term.epoch)
                 self._announce(None)
@@ -96,7 +101,7 @@
             if self.view.synced and self.view.get(TYPES) is None:
                 try:
                     await self.cloud.idle_budget.take()
-                    kinds = await self.cloud.types()
+                    kinds = types_record(await self.cloud.types(), self.settings.cluster.state.value_kb * 1024 * FULL)
                     if parse_types(kinds):
                         await self.client.writes.take()
                         await self.client.commit({TYPES: 0}, {TYPES: kinds}, [], pause)
@@ -114,6 +119,7 @@
                 self.door.acceptor.run,
                 partial(self.leadership.run, send),
                 partial(self.run_terms, receive),
+                self.rollout.run,
                 self.run_types,
                 self.run_health,
             ):
--- a/ladderfield/settings.py
+++ b/ladderfield/settings.py
@@ -63,13 +63,33 @@
     cancel_s: Positive
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on; what is absent stays."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Count | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
-    """What the state service allows all controllers together."""
+    """What the state service allows all controllers together.
+
+    The moment when ``next`` comes into force is not told, so each figure is the smaller one from the start: whoever
+    asks for one can't ask for the wrong one.
+    """
 
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Count
+    next: NextLimits | None = None
+
+    def __post_init__(self) -> None:
+        for field in NextLimits.__struct_fields__:
+            coming = getattr(self.next, field, None)
+            if coming is not None and coming < getattr(self, field):
+                msgspec.structs.force_setattr(self, field, coming)
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -62,6 +62,10 @@
     """The state service did not carry the request out, or did not say that it has."""
 
 
+class Refused(Unavailable):
+    """The state service will never take this as it is: it is surely not carried out, and a repeat is useless."""
+
+
 class Outcome:
     """What became of a transaction: applied at ``ledger``, or the guards that failed."""
 
@@ -151,6 +155,8 @@
             return Outcome(ledger, None)
         if status == 409 and isinstance(failed, list) and isinstance(ledger, int):
             return Outcome(ledger, [str(key) for key in failed])
+        if status == 400:
+            raise Refused(f"commit: {answer}")
         raise Unavailable(f"commit: {status} {answer}")
 
     async def grant(self, ttl_s: float, timeout: float) -> int:
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -9,6 +9,7 @@
 
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.foreman.actor import Foreman, Reported
+from ladderfield.jobs.chains import Chains
 from ladderfield.leadership import EPOCH, Leadership, Term
 from ladderfield.state import Change, Outcome, StateClient, View
 from ladderfield.testing import TYPES, accepted, job, settings
@@ -42,7 +43,9 @@
 
 async def test_a_foreman_that_stood_still_starts_nothing_and_answers_only_until_its_bound() -> None:
     client = StateClient(settings())
-    foreman = Foreman(settings(), Term(7, 3, 1, 0.0, 2.0), client, View(client, settings()), Cloud(settings()))
+    foreman = Foreman(
+        settings(), Term(7, 3, 1, 0.0, 2.0), client, View(client, settings()), Cloud(settings()), Chains({}.get)
+    )
     foreman._push = lambda now: None  # type: ignore[method-assign]
     foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
     foreman.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
