--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -149,7 +149,7 @@
 
 def test_a_zone_that_an_earlier_foreman_may_hold_is_given_its_time() -> None:
     """Grown troubles: the zone was cut off with its foreman, and two takeovers later its machines were deleted."""
-    one = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, Chains({}.get), {"n1": 1020.0})
+    one = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, Chains(lambda key: None), {"n1": 1020.0})
     assert one.vigil.zones_before == {"zb": 20.0}
     for host, zone in (("a", "za"), ("b", "zb"), ("c", "za"), ("d", "za"), ("e", "za")):
         machine = one.machines[host] = Machine(host, "10.9.0.1:90", UNKNOWN, zone, False, 0.0)
@@ -166,7 +166,9 @@
     """A foreman that no worker can reach: others carry the reports, and its own calls fail everywhere."""
     own = settings()
     client = StateClient(own)
-    foreman = Foreman(own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own), Chains({}.get))
+    foreman = Foreman(
+        own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own), Chains(lambda key: None)
+    )
     machine = foreman.desk.machines["m"] = Machine("m", "10.9.0.1:90", UNKNOWN, "za", False, 0.0)
     for heard_at, relayed, deaf_then in ((80.0, False, False), (100.0, True, False), (100.0, False, True)):
         machine.heard_at, machine.relayed = heard_at, relayed
--- a/ladderfield/jobs/chains.py
+++ b/ladderfield/jobs/chains.py
@@ -23,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 
+Due = tuple[float, float]  # time of day, and how many seconds that is after a submission
 STEPS = 8  # for each job on record: more can't be needed to pass urgency on, unless records contradict each other
 
 
@@ -35,12 +36,9 @@
         self.needs: tuple[str, ...] = tuple(spec.get("waitsOn") or ())
         self.service = spec["shape"] == "daemon"
         self.run_s = float(spec["expectS"])
-        due = spec.get("dueS")
-        # Its own rank and due time, the latter as (time of day, seconds from submission).
-        self.own: tuple[int, tuple[float, float] | None] = (
-            RANKS[spec["rank"]],
-            None if due is None else (at + due, due),
-        )
+        allowed = spec.get("dueS")
+        due = None if allowed is None else (at + allowed, allowed)
+        self.own: tuple[int, Due | None] = (RANKS[spec["rank"]], due)
         self.rank, self.due = self.own  # the same with what it inherits
         self.records: set[str] = set()
 
@@ -164,7 +162,7 @@
         """When the last of these ended, as time of day; 0 if nothing tells."""
         return max((record.get("at", 0.0) for uid in needs if (record := self._get(FINAL + uid))), default=0.0)
 
-    def urgency(self, uid: str) -> tuple[int, tuple[float, float] | None]:
+    def urgency(self, uid: str) -> tuple[int, Due | None]:
         """The rank and the due time that a job has for those that wait for it."""
         link = self._links[uid]
         return link.rank, link.due
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -44,7 +44,12 @@
 async def test_a_foreman_that_stood_still_starts_nothing_and_answers_only_until_its_bound() -> None:
     client = StateClient(settings())
     foreman = Foreman(
-        settings(), Term(7, 3, 1, 0.0, 2.0), client, View(client, settings()), Cloud(settings()), Chains({}.get)
+        settings(),
+        Term(7, 3, 1, 0.0, 2.0),
+        client,
+        View(client, settings()),
+        Cloud(settings()),
+        Chains(lambda key: None),
     )
     foreman._push = lambda now: None  # type: ignore[method-assign]
     foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
