--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -81,9 +81,11 @@
         return self.desk.machines[host]
 
 
-def rung(index: int, attempt: int, phase: str = "running", cause: str | None = None) -> dict[str, Any]:
+def rung(
+    index: int, attempt: int, phase: str = "running", cause: str | None = None, uid: str = "req-000001"
+) -> dict[str, Any]:
     """A task in a report."""
-    return {"rung": f"req-000001/{index}", "try": attempt, "phase": phase, "cause": cause}
+    return {"rung": f"{uid}/{index}", "try": attempt, "phase": phase, "cause": cause}
 
 
 def launched(stage: Stage, tasks: int = 1, **changes: Any) -> int:
--- /dev/null
+++ b/ladderfield/test_versions.py
@@ -0,0 +1,244 @@
+"""Old and new version side by side: fixed examples of what the version in production writes, read by this one; and what
+this one writes, read by a strict description of what the version in production takes."""
+
+from __future__ import annotations
+
+import struct
+from typing import Annotated, Any, Literal
+
+import msgspec
+import pytest
+import trio
+
+from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, rung
+from ladderfield.http import Request
+from ladderfield.jobs.model import JobSpec
+from ladderfield.jobs.test_jobs import _door
+from ladderfield.leadership import Leadership
+from ladderfield.peers import HEALTH, RELAY, SELF, pack, unpack_head
+from ladderfield.rollout import VERSION
+from ladderfield.state import StateClient, View
+from ladderfield.testing import job, settings
+
+# As the version in production writes it, byte for byte.
+JOB_RECORD = (
+    b'{"jobs":{"req-000412":{"spec":{"uid":"req-000412","jobclass":"train","owner":"red","shape":"array",'
+    b'"rank":"urgent","rungs":6,"cores":2.0,"cards":0.0,"memoryGb":4.0,"bundle":"img-07","sizeGb":1.5,'
+    b'"oneZone":false,"spread":false,"loaners":true,"expectS":20.0,"markEveryS":0.0,"markCostS":0.0,'
+    b'"flavours":null,"yard":null,"dueS":90.0},"at":990.125,"block":256},"req-000413":{"spec":{"uid":"req-000413",'
+    b'"jobclass":"web","owner":"blue","shape":"daemon","rank":"production","rungs":1,"cores":4.0,"cards":0.0,'
+    b'"memoryGb":4.0,"bundle":"img-08","sizeGb":2.0,"oneZone":false,"spread":false,"loaners":false,"expectS":0.0,'
+    b'"markEveryS":0.0,"markCostS":0.0,"flavours":["m4"],"yard":null,"dueS":null},"at":991.0,"block":256}}}'
+)
+PAGE_RECORD = (
+    b'{"req-000412":{"d":[[0,1],[4,4]],"a":{"2":[25769803778,"i-000001"],"3":[25769803779,"i-000002"]}},'
+    b'"req-000413":{"a":{"0":[25769803777,"i-000003"]}},'
+    b'"hosts":{"i-000001":["za","10.1.0.2:9000","m4",true],"i-000002":["za","10.1.0.3:9000","m4",false],'
+    b'"i-000003":["zb","10.1.0.4:9000","m4",false]}}'
+)
+DONE_RECORD = b'{"phase":"done","done":6}'
+CANCELLED_RECORD = b'{"phase":"cancelled","at":1001.5}'
+EPOCH_RECORD = b'{"epoch":6,"member":"n1","before":{"n2":1100.0}}'
+HEALTH_ANSWER = b"lf\x02\x03\x00\xc8\x00\x00\x00\x0b\x01\x00\x00\x00\x00\x00\x00\x00\x06n1"
+
+
+def old_data(**more: bytes) -> dict[str, Any]:
+    """A state service that the version in production has filled."""
+    raw = {"lf/j/req-000412": JOB_RECORD, "lf/p/0": PAGE_RECORD, "lf/epoch": EPOCH_RECORD}
+    raw |= {key.replace("_", "/", 2): value for key, value in more.items()}
+    return {key: (msgspec.json.decode(value), 5) for key, value in raw.items()}
+
+
+def test_a_new_foreman_takes_over_claims_replicas_and_ends_of_an_old_one() -> None:
+    stage = Stage(old_data())
+    array, service = stage.desk.jobs["req-000412"], stage.desk.jobs["req-000413"]
+    assert array.finished == {0, 1, 4} and {claim.attempt & 0xFF for claim in array.claims.values()} == {2, 3}
+    assert array.spec.needs is None and array.spec.deadline_s == 90.0 and not array.waits
+    assert [claim.host for claim in service.claims.values()] == ["i-000003"]
+    assert stage.desk.teams.cpus == {"red": 4.0, "blue": 4.0}
+    # A reap under way: the old foreman has recorded task 4 and not yet reaped it.
+    orders = stage.report(
+        "i-000001", (rung(4, 25769803775, "exited", "done", "req-000412"), rung(2, 25769803778, uid="req-000412")),
+        endpoint="10.1.0.2:9000",
+    )  # fmt: skip
+    assert [(order["verb"], order["rung"]) for order in orders] == [("reap", "req-000412/4")]
+
+
+@pytest.mark.parametrize("record", [DONE_RECORD, CANCELLED_RECORD])
+def test_ends_that_an_old_version_wrote_count(record: bytes) -> None:
+    stage = Stage(old_data(lf_f_req000001=record) | {"lf/f/req-000412": (msgspec.json.decode(record), 6)})
+    stage.submit("req-000414", waitsOn=["req-000412"])
+    assert bool(stage.desk.jobs["req-000414"].waits) == (record is CANCELLED_RECORD)
+    assert bool(stage.desk.orphaned) == (record is CANCELLED_RECORD)
+
+
+async def test_an_old_epoch_and_an_old_answer_over_back_are_understood(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        _, service = await _door(monkeypatch, nursery)
+        client = StateClient(settings())
+        view = View(client, settings())
+        nursery.start_soon(view.run)
+        await service._multi({"guards": [], "apply": [{"put": "lf/epoch", "value": msgspec.json.decode(EPOCH_RECORD)}]})
+        await trio.sleep(1)
+        leadership = Leadership(settings(), client, view)
+        assert leadership.known_epoch() == 6 and set(leadership._earlier()) <= {"n1", "n2"}
+        kind, status, length = unpack_head(HEALTH_ANSWER[:10])
+        body = HEALTH_ANSWER[10:]
+        assert (kind, status, length) == (3, 200, len(body)) and SELF.unpack_from(body) == (1, 6)
+        nursery.cancel_scope.cancel()
+
+
+# -- what the version in production takes -----------------------------------------------------------------------
+
+
+class OldSpec(msgspec.Struct):
+    """Fields that it needs, and those that may be absent; others it ignores."""
+
+    uid: str
+    jobclass: str
+    owner: str
+    shape: Literal["array", "daemon"]
+    rank: Literal["production", "urgent", "standard", "best_effort"]
+    rungs: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    cores: float
+    cards: float
+    memoryGb: float
+    bundle: str
+    sizeGb: float
+    oneZone: bool
+    spread: bool
+    loaners: bool
+    expectS: float
+    markEveryS: float
+    markCostS: float
+    flavours: list[str] | None = None
+    yard: str | None = None
+    dueS: float | None = None
+
+
+class OldJob(msgspec.Struct, forbid_unknown_fields=True):
+    spec: OldSpec
+    at: float
+    block: Annotated[int, msgspec.Meta(ge=1)]
+
+
+class OldJobs(msgspec.Struct, forbid_unknown_fields=True):
+    jobs: dict[str, OldJob]
+
+
+class OldEntry(msgspec.Struct, forbid_unknown_fields=True):
+    d: list[tuple[int, int]] = []
+    a: dict[str, tuple[int, str]] = {}
+
+
+class OldFinal(msgspec.Struct):
+    phase: Literal["done", "cancelled"]
+    done: int = 0
+    at: float = 0.0
+
+
+class OldEpoch(msgspec.Struct):
+    epoch: int
+    member: str
+    before: dict[str, float]
+
+
+About = tuple[str, str, str, bool]
+
+
+def old_reads(key: str, value: Any) -> None:
+    """Fails where the version in production would stumble. It passes over keys of any other beginning."""
+    value = msgspec.json.decode(msgspec.json.encode(value))
+    if key.startswith("lf/j/"):
+        record = msgspec.convert(value, OldJobs)
+        assert key.removeprefix("lf/j/") in record.jobs
+    elif key.startswith("lf/f/"):
+        msgspec.convert(value, OldFinal)
+    elif key.startswith("lf/p/"):
+        assert key.removeprefix("lf/p/").isdigit()
+        hosts = msgspec.convert(value.pop("hosts", {}), dict[str, About])
+        entries = msgspec.convert(value, dict[str, OldEntry])
+        assert all(host in hosts for entry in entries.values() for _, host in entry.a.values())
+    elif key == "lf/epoch":
+        msgspec.convert(value, OldEpoch)
+    elif key == "lf/types":
+        assert isinstance(value, list)
+    elif key == "lf/foreman":
+        assert isinstance(value["member"], str)
+    else:
+        assert key.startswith(VERSION)
+
+
+def test_an_old_foreman_takes_over_what_a_new_one_leaves() -> None:
+    stage = Stage()
+    stage.desk.pages.most = 1900
+    stage.submit("req-000001", rungs=40, owner="blue")
+    stage.submit("req-000002", rungs=1, shape="daemon", rank="production", owner="blue", cores=4.0)
+    stage.submit("req-000003", rungs=1, owner="blue")
+    stage.submit("req-000004", rungs=1, owner="blue", waitsOn=["req-000001"])
+    for host in range(30):
+        stage.report(f"m{host}")
+    written: dict[str, Any] = {}
+    for step in range(3):
+        while (txn := stage.ledger.collect(True)) is not None:
+            written |= txn.puts
+            stage.stamp += 1
+            stage.ledger.applied(txn, stage.stamp, 2.0)
+        for claim in [claim for one in stage.desk.jobs.values() for claim in one.claims.values()]:
+            if not claim.job.spec.service and claim.index % 3 != step:
+                stage.desk.end(claim, True, 3.0)
+        if step == 1:
+            stage.tell("req-000003", "cancelled")
+    for key, value in written.items():
+        old_reads(key, value)
+    pages = sorted(int(key.removeprefix("lf/p/")) for key in written if key.startswith("lf/p/"))
+    assert pages == list(range(len(pages))), "it reads pages until one is missing"
+    assert {phase for one in written.items() if "lf/f/" in one[0] for phase in [one[1]["phase"]]} == {"done"}
+
+
+async def test_an_old_version_reads_what_a_new_door_and_a_new_candidate_write(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        nursery.start_soon(door.rollout.run)
+        for changes in (
+            {},
+            {"dueS": 40.0, "flavours": ["m4"], "yard": "za"},
+            {"shape": "daemon", "rank": "production"},
+        ):
+            uid = f"req-{len(service.keys):06}"
+            reply = await door(Request("POST", "/api/jobs", msgspec.json.encode(job(uid, **changes))))
+            assert reply is not None and reply.status == 201
+        await door(Request("POST", "/api/jobs/req-000001/cancel", b""))
+        leadership = Leadership(settings(), door.client, door.view)
+        await trio.sleep(1)
+        term = await leadership._campaign()
+        assert term is not None and term.epoch == 1
+        await trio.sleep(1)
+        assert {key.split("/")[1] for key in service.keys} >= {"j", "v", "epoch", "foreman", "types"}
+        for key, (value, _, _) in service.keys.items():
+            old_reads(key, value)
+        nursery.cancel_scope.cancel()
+
+
+def test_frames_stay_those_that_an_old_version_takes() -> None:
+    """It closes the connection on any other magic, version or kind."""
+    for kind, status in ((RELAY, 1), (HEALTH, 0)):
+        magic, version, sent, _, length = struct.unpack("!2sBBHI", pack(kind, status, b"{}")[:10])
+        assert (magic, version, sent, length) == (b"lf", 2, kind, 2) and kind in (1, 3)
+
+
+def test_an_old_foreman_would_start_what_waits_so_only_a_record_of_the_roll_out_keeps_it_off() -> None:
+    """Why the door asks the roll-out: to the old version such a record is a job like any other."""
+    spec = msgspec.convert(job("req-000002", waitsOn=["req-000001"]), JobSpec)
+    written = msgspec.to_builtins(spec)
+    assert written["waitsOn"] == ["req-000001"] and not hasattr(msgspec.convert(written, OldSpec), "waitsOn")
+    assert "dueS" not in written, "absent and null are the same to both, and the smaller records need the room"
+
+
+def test_foremen_change_between_versions_with_a_claim_made_by_each() -> None:
+    """An old foreman's attempts and a new one's on the same page: of each task the later counts."""
+    data = old_data()
+    page = msgspec.json.decode(PAGE_RECORD)
+    page["req-000412"]["a"] = {"3": [(EPOCH_NOW - 2) << 32, "i-000001"]}
+    stage = Stage(data | {"lf/p/1": (page, 6)})
+    assert {claim.attempt for claim in stage.desk.jobs["req-000412"].claims.values()} == {25769803778, 25769803779}
