--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -36,7 +36,8 @@
 SLOW_SHARE = 0.5  # of them: for machines that may not answer
 ELECTION = 0.05  # of a foreman's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
-WRITES_LEAST = 0.25  # of a transaction's limit: what it may hold at least before the next one is begun
+WRITES_LEAST = 0.25  # of a transaction's limit: what it may hold at least before the next one is begun, and not less
+WRITES_TWO = 2  # than the end of a job and a page of claims
 TICK = 1 / 6  # of report_s
 BATCH = 1 / 3  # of report_s: how long finished tasks may wait to be recorded together
 PUSH_S = 1.0  # of report_s: how long a push waits for its answer
@@ -149,6 +150,7 @@
         sockets = settings.cluster.quota.max_connections
         self._couriers = max(2, min(COURIERS, int(sockets * COURIERS_SHARE)))
         self._keep = int(sockets * KEPT_SHARE)
+        self._begin_with = max(WRITES_TWO, WRITES_LEAST * settings.cluster.state.txn_ops)
         self._txns, self._txn_inbox = trio.open_memory_channel[Txn](1)
 
     async def run(self, announce: Any) -> None:
@@ -457,7 +459,7 @@
                     await trio.sleep(pause)
             await self.send.send(Committed(txn, outcome, stamps))
             # The next one is put together only when it can go out, so that it holds all that has gathered.
-            await self.client.foreman_writes.ready(WRITES_LEAST * self.settings.cluster.state.txn_ops)
+            await self.client.foreman_writes.ready(self._begin_with)
             await self.send.send(Ready())
 
     async def _courier(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -58,9 +58,10 @@
     def collect(self, finished_too: bool, most: int | None = None) -> Txn | None:
         """The next transaction, of at most so many changes, or None if there is nothing to record.
 
-        New claims go first, since a task waits for them, then jobs that are done, since a user waits. The ends of
-        single tasks go along; without ``finished_too`` they don't cause a write of their own. What is over is
-        cleared away with what is left of the changes.
+        Jobs that are done go first: they are few, and a user, or the next job of a chain, waits for them. Then come new
+        claims, for which a task waits; one change is kept for them where there are two. The ends of single tasks go
+        along; without ``finished_too`` they don't cause a write of their own. What is over is cleared away, and pages
+        are written anew, with changes that nobody waits for.
         """
         txn = Txn(self.epoch_stamp, max(1, min(most or self.most, self.most)))
         desk = self.desk
@@ -70,28 +71,32 @@
             # What a write that failed had moved here may stand on record only on a page that would be written next.
             return txn if txn.ops else None
         for job in list(desk.complete):
-            if txn.left < 2 and (txn.left < 1 or desk.unrecorded):  # one is kept for a page of claims
+            if txn.left < 1 or (txn.left < 2 and txn.ops and desk.unrecorded):
                 break
             ended = desk.term_from if job.ended_at is None else job.ended_at
             self._decide(txn, job, {"phase": DONE, "done": job.spec.tasks, "at": round(ended + desk.wall_offset, 3)})
         ends = {job: job.unsettled for job in desk.unsettled if job not in txn.finals}
         if desk.unrecorded or (ends and (finished_too or txn.ops)):
             self._fill(txn, ends)
-        if finished_too or txn.ops:
-            for job in list(desk.orphaned)[: txn.left]:
-                # Users are told so already, as it follows from what is on record.
-                self._decide(txn, job, {"phase": CANCELLED})
-            for record in list(desk.spent)[: txn.left]:
-                txn.guards[record.key] = record.stamp
-                txn.deletes.append(record.key)
-                txn.ended.append(record)
-        if finished_too:
-            for page in list(desk.pages.dirty):
-                self._write(txn, page)
-            if txn.left > 0 and txn.most == self.most and not desk.unrecorded:
-                self._move(txn)
+        if finished_too and txn.left > 0 and not desk.unrecorded and not desk.complete.keys() - txn.finals.keys():
+            self._clear(txn)
         return txn if txn.ops else None
 
+    def _clear(self, txn: Txn) -> None:
+        """What may wait until there is nothing else to write."""
+        desk = self.desk
+        for job in list(desk.orphaned)[: txn.left]:
+            # Users are told so already, as it follows from what is on record.
+            self._decide(txn, job, {"phase": CANCELLED})
+        for record in list(desk.spent)[: txn.left]:
+            txn.guards[record.key] = record.stamp
+            txn.deletes.append(record.key)
+            txn.ended.append(record)
+        for page in list(desk.pages.dirty):
+            self._write(txn, page)
+        if txn.left > 0 and txn.most == self.most:
+            self._move(txn)
+
     @staticmethod
     def _decide(txn: Txn, job: Job, value: dict[str, Any]) -> None:
         """A job's final state: only where there is none yet."""
@@ -163,6 +168,12 @@
     def applied(self, txn: Txn, ledger: int, now: float) -> None:
         """The transaction is on record."""
         desk = self.desk
+        new = sum(not claim.recorded for claims, _ in txn.pages.values() for claim in claims)
+        log.debug(
+            "on record: %d claims and %d that go on, on %d pages, %d ends of jobs, %d records cleared; %d claims wait",
+            new, sum(len(claims) for claims, _ in txn.pages.values()) - new, len(txn.pages), len(txn.finals),
+            len(txn.deletes), len(desk.unrecorded),
+        )  # fmt: skip
         for page, (claims, done) in txn.pages.items():
             page.stamp = ledger
             for claim in claims:
