--- a/ladderfield/foreman/outlook.py
+++ b/ladderfield/foreman/outlook.py
@@ -10,7 +10,7 @@
 from ladderfield.settings import Settings
 
 BEGIN_S = 240.0  # the protocol: the largest jobs, too, begin within four minutes
-OLD = 0.5  # of that: then a job is served by age
+OLD = 0.5  # of that, or of what its class may wait: then a job is served by age
 STEP = 8.0  # of report_s: late jobs that came closer together than this are equal
 MEMORY = 60.0  # of report_s: how far back arrivals count
 Stream = tuple[str, str]  # class and image: what a warm machine has to match
@@ -30,6 +30,11 @@
         for objective in settings.cluster.objectives:
             if objective.kind == "finished" and objective.job_class and objective.within_s:
                 self.aims[objective.job_class].append(objective.within_s)
+        self.begin = {  # of a class: how long its tasks may wait
+            one.job_class: one.within_s
+            for one in settings.cluster.objectives
+            if one.kind == "wait" and one.job_class and one.within_s
+        }
         self.beyond = sorted(
             {one.times for one in settings.cluster.objectives if one.kind == "deadline" and one.times} | {1.0}
         )
@@ -77,6 +82,9 @@
         if job.due is not None:
             until, allowed = job.due
             aims += [until - self.wall_offset + (times - 1) * allowed for times in self.beyond]
+        begin = self.begin.get(job.spec.job_class)
+        if begin is not None and not job.spec.service:
+            aims.append(job.since + begin + self.run_s(job))
         return min((aim for aim in aims if aim >= earliest), default=None)
 
     def rating(self, job: Job, now: float) -> tuple[bool, int]:
@@ -90,7 +98,8 @@
 
     def old(self, job: Job, now: float) -> bool:
         """Whether an array has waited for so long that it is owed some of the room whatever else there is to do."""
-        return not job.spec.service and now - job.since > OLD * BEGIN_S
+        begin = min(self.begin.get(job.spec.job_class, BEGIN_S), BEGIN_S)
+        return not job.spec.service and now - job.since > OLD * begin
 
     def age(self, job: Job) -> int:
         """Since when it could run, in steps."""
