--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -453,6 +453,8 @@
         doomed = []
         self.vigil.look(now)
         for machine in self.machines.values():
+            if self.vigil.well(machine, now):
+                continue
             if machine.claims and now > machine.lease_over_at(
                 self.epoch, self.term_from, self.vigil.others_until, self.lease_s
             ):
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -63,11 +63,13 @@
         along; without ``finished_too`` they don't cause a write of their own. What is over is cleared away, and pages
         are written anew, with changes that nobody waits for.
         """
-        txn = Txn(self.epoch_stamp, max(1, min(most or self.most, self.most)))
         desk = self.desk
-        for page in [page for page in desk.pages.pages if page.owing]:
+        if not (finished_too or desk.unrecorded or desk.complete or desk.pages.owing):
+            return None
+        txn = Txn(self.epoch_stamp, max(1, min(most or self.most, self.most)))
+        for page in list(desk.pages.owing):
             self._write(txn, page)
-        if any(page.owing for page in desk.pages.pages):
+        if desk.pages.owing:
             # What a write that failed had moved here may stand on record only on a page that would be written next.
             return txn if txn.ops else None
         for job in list(desk.complete):
@@ -162,8 +164,9 @@
         txn.puts[page.key] = page.value()
         txn.pages[page] = (list(page.claims), {job: set(tasks) for job, tasks in page.done.items()})
         txn.size += encoded_size(page)
-        page.dirty = page.owing = False
+        page.dirty = False
         pages.dirty.discard(page)
+        pages.owing.discard(page)
 
     def applied(self, txn: Txn, ledger: int, now: float) -> None:
         """The transaction is on record."""
@@ -194,7 +197,7 @@
         and write again, with what is known now."""
         for page in txn.pages:
             page.stamp = stamps.get(page.key, page.stamp)
-            page.owing = True
+            self.desk.pages.owing.add(page)
         for job in txn.finals:
             if stamps.get(FINAL + job.uid):
                 # Cancelled at the last moment, or done by our own earlier copy. Either way it is final, and the view
@@ -220,8 +223,9 @@
             for job, tasks in done.items():
                 if job.final is None:
                     large.add_done(job, tasks)
-        for page in {*txn.pages, *(page for page in pages.pages if page.owing)}:
-            page.owing = False
+        again_all = {*txn.pages, *pages.owing}
+        pages.owing.clear()
+        for page in again_all:
             for claim in [claim for claim in page.claims if not claim.recorded]:
                 page.drop_claim(claim)
                 desk.unrecorded[claim] = None
--- a/ladderfield/foreman/pages.py
+++ b/ladderfield/foreman/pages.py
@@ -29,7 +29,7 @@
 class Page:
     """One record."""
 
-    __slots__ = ("_ranges", "claims", "dirty", "done", "hosts", "jobs", "number", "owing", "size", "stamp")
+    __slots__ = ("_ranges", "claims", "dirty", "done", "hosts", "jobs", "number", "size", "stamp")
 
     def __init__(self, number: int, stamp: int = 0) -> None:
         self.number, self.stamp = number, stamp
@@ -40,7 +40,6 @@
         self._ranges: dict[Job, int] = {}  # the bytes of its finished ranges
         self.size = FRAME  # an upper bound of the value's bytes, as it would be written now
         self.dirty = False  # the record still has what is no longer so
-        self.owing = False  # it holds what is not on record, since a write of it failed
 
     @property
     def key(self) -> str:
@@ -151,6 +150,7 @@
         # is left of them fits; until then what changes goes on others.
         self.most = int(value_kb * 1024 * FULL)
         self.dirty: set[Page] = set()
+        self.owing: set[Page] = set()  # these hold what is not on record, since a write of them failed
 
     def load(self, number: int, stamp: int) -> Page:
         """A page found on record."""
--- a/ladderfield/foreman/vigil.py
+++ b/ladderfield/foreman/vigil.py
@@ -80,6 +80,14 @@
                 patience = min(until, self.others_until) - term_from + (self._way if few else self._together)
         return patience
 
+    def well(self, machine: Machine, now: float) -> bool:
+        """Whether a look at it tells already that nothing is to be decided: of hundreds nearly all are."""
+        return (
+            machine.usable(now, SILENT * self.desk.report_s)
+            and machine.listed != "failed"
+            and not (machine.claims and self.desk.cancelled_at)
+        )
+
     def why(self, machine: Machine, now: float) -> str | None:
         """Why the machine has to go, or None."""
         desk = self.desk
--- a/ladderfield/http.py
+++ b/ladderfield/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -57,25 +58,29 @@
         """Serve one connection to its end; no peer's behaviour may end more than its own connection."""
         self.open += 1
         try:
+            # One scope for the connection, whose deadline moves: one for each step is a tenth of what a request costs.
             async with stream:
-                await self._serve(stream)
+                with trio.CancelScope() as scope:
+                    await self._serve(stream, scope)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError, OSError):
             pass
         finally:
             self.open -= 1
 
-    async def _serve(self, stream: trio.abc.Stream) -> None:
+    async def _serve(self, stream: trio.abc.Stream, scope: trio.CancelScope) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
         while True:
             try:
-                request = await self._receive(connection, stream)
+                request = await self._receive(connection, stream, scope)
             except (Refused, h11.RemoteProtocolError) as error:
                 status = error.status if isinstance(error, Refused) else 400
                 if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                    await self._send(connection, stream, Reply(status, {"error": "bad request"}, close=True))
+                    reply = Reply(status, {"error": "bad request"}, close=True)
+                    await self._send(connection, stream, scope, reply)
                 return
             if request is None:
                 return
+            scope.deadline = math.inf  # a handler bounds itself
             if self.open > self.most:
                 reply = Reply(503, {"error": "too many connections"}, retry_after=1, close=True)
             else:
@@ -84,30 +89,30 @@
                 except Exception:
                     log.exception("%s %s failed", request.method, request.path)
                     reply = Reply(500, {"error": "internal"})
-            await self._send(connection, stream, reply)
+            await self._send(connection, stream, scope, reply)
             if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
 
-    async def _receive(self, connection: h11.Connection, stream: trio.abc.Stream) -> Request | None:
-        """The next whole request, or None when the peer is gone, silent for long or too slow."""
+    async def _receive(
+        self, connection: h11.Connection, stream: trio.abc.Stream, scope: trio.CancelScope
+    ) -> Request | None:
+        """The next whole request, or None when the peer is gone; the scope ends for one silent for long or too slow."""
         head: h11.Request | None = None
         body = bytearray()
         # Over the limit a connection is kept just long enough to be told so.
-        limit = trio.current_time() + (self.idle_s if self.open <= self.most else self.request_s / 10)
+        scope.deadline = trio.current_time() + (self.idle_s if self.open <= self.most else self.request_s / 10)
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                with trio.move_on_at(limit):
-                    data = await stream.receive_some(READ_SIZE)
-                    if head is None and data:
-                        limit = min(limit, trio.current_time() + self.request_s)
-                    connection.receive_data(bytes(data))
-                    continue
-                return None
+                data = await stream.receive_some(READ_SIZE)
+                if head is None and data:
+                    scope.deadline = min(scope.deadline, trio.current_time() + self.request_s)
+                connection.receive_data(bytes(data))
+                continue
             if isinstance(event, h11.Request):
                 head = event
-                limit = trio.current_time() + self.request_s
+                scope.deadline = trio.current_time() + self.request_s
                 for name, value in event.headers:
                     if name == b"content-length" and int(value) > BODY_LIMIT:
                         raise Refused(413)
@@ -124,7 +129,10 @@
             else:
                 return None
 
-    async def _send(self, connection: h11.Connection, stream: trio.abc.Stream, reply: Reply) -> None:
+    async def _send(
+        self, connection: h11.Connection, stream: trio.abc.Stream, scope: trio.CancelScope, reply: Reply
+    ) -> None:
+        """The scope ends for a peer that reads too slowly."""
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(reply.body)))]
         if reply.retry_after is not None:
             headers.append(("Retry-After", str(reply.retry_after)))
@@ -133,10 +141,8 @@
         data = connection.send(h11.Response(status_code=reply.status, headers=headers)) or b""
         data += connection.send(h11.Data(data=reply.body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
-        with trio.move_on_after(self.request_s) as scope:
-            await stream.send_all(data)
-        if scope.cancelled_caught:
-            raise trio.BrokenResourceError("the peer reads too slowly")
+        scope.deadline = trio.current_time() + self.request_s
+        await stream.send_all(data)
 
 
 class NoAnswer(Exception):
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -136,8 +136,9 @@
             return self._take(job, machine)
         for _, _, host in self._stragglers():
             straggler = self._ranked[host]
-            job = self._pick(straggler.queue, machine, jobs)
-            if job is not None:
+            if not straggler.queue.keys().isdisjoint(jobs):
+                job = self._pick(straggler.queue, machine, jobs)
+                assert job is not None
                 return self._take(job, straggler)
         return None
 
