--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/foreman/ledger.py
@@ -156,6 +156,7 @@
         txn.moved.append((large, claims, done))
         pages.spoil(large)
         self._write(txn, page)
+        assert page in txn.pages, "what moved stands nowhere else once the large page is written"
 
     def _write(self, txn: Txn, page: Page) -> None:
         pages = self.desk.pages
