--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -18,6 +18,7 @@
 from ladderfield.foreman.room import RoomMaker
 from ladderfield.foreman.sessions import Sessions
 from ladderfield.foreman.vigil import SILENT, Vigil
+from ladderfield.foreman.waiting import Waiting
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import (
     CANCELLED,
@@ -66,7 +67,6 @@
         self.settings, self.epoch, self.term_from = settings, epoch, now
         self.report_s, self.lease_s, self.cancel_s = workers.report_s, workers.lease_s, workers.cancel_s
         self.wall_offset = wall - now
-        self.chains = chains
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, None] = {}  # deleted machines: their late reports count for nothing
@@ -85,6 +85,7 @@
         self.firsts, self.eldest = Share(), Share()  # room for jobs that have waited for long
         self._attempts = 0
         self.outlook = Outlook(settings, self.wall_offset)
+        self.waiting = Waiting(self, chains)
         self.sessions = Sessions(self)
         self.vigil = Vigil(self, now + grace_s, before or {}, wall - now)
         self.room = RoomMaker(self)
@@ -175,50 +176,16 @@
                 spec = msgspec.convert(entry["spec"], JobSpec)
                 job = self.jobs[uid] = Job(spec, entry["at"] - self.wall_offset, entry["block"])
                 self.outlook.arrived(job)
-                self._tie(job)
+                self.waiting.tie(job)
                 self.changed = True
             if all(one.key != key for one in job.records):
                 job.records.append(record)
                 record.live.add(uid)
 
-    def _tie(self, job: Job) -> None:
-        """What an accepted job waits for, and how urgent that makes the jobs before it."""
-        needs = job.spec.needs or ()
-        job.waits = self.chains.unmet(needs)
-        if needs:
-            job.since = max(job.at, self.chains.ready_at(needs) - self.wall_offset)
-        if self.chains.cancelled(job.uid):
-            self.orphaned[job] = None
-        self._hurry(job.uid)
-
-    def _hurry(self, uid: str) -> None:
-        """Jobs are as urgent as what waits for them."""
-        for one in (uid, *self.chains.all_before(uid)):
-            job = self.jobs.get(one)
-            if job is not None and one in self.chains:
-                rank, job.due = self.chains.urgency(one)
-                job.order = (rank,)
-
-    def _go_on(self, uid: str, phase: str, now: float) -> None:
-        """A job's end is on record: jobs that wait for it are ready if it was the last, or cancelled with it."""
-        for later in self.chains.all_after(uid) if phase == CANCELLED else self.chains.after(uid):
-            job = self.jobs.get(later)
-            if job is None or job.final is not None:
-                continue
-            if phase == CANCELLED:
-                self.orphaned[job] = None
-            elif uid in job.waits:
-                job.waits.discard(uid)
-                if not job.waits:
-                    log.info("job %s: ready, all that it waits for is done", job.uid)
-                    job.since, self.changed = now, True
-        if phase == CANCELLED:
-            self._hurry(uid)
-
     def _finalised(self, key: str, value: Any, now: float, loading: bool = False) -> None:
         job = self.jobs.get(key.removeprefix(FINAL))
         if not loading:
-            self._go_on(key.removeprefix(FINAL), value["phase"], now)
+            self.waiting.ended(key.removeprefix(FINAL), value["phase"], now)
         if job is None:
             return
         job.told = not loading  # its claims are yet to be read then
@@ -235,7 +202,7 @@
     def decided(self, job: Job, phase: str, now: float) -> None:
         """Our own write of the job's final state was answered."""
         self.finalised(job, phase)
-        self._go_on(job.uid, phase, now)
+        self.waiting.ended(job.uid, phase, now)
 
     def finalised(self, job: Job, phase: str) -> None:
         """The job's final state is on record; no task of it starts any more."""
--- /dev/null
+++ b/ladderfield/foreman/waiting.py
@@ -0,0 +1,60 @@
+"""Waiting jobs on the foreman's tables: when one is ready, when it is cancelled with another, how urgent each is.
+
+What is so follows from the records and is asked of ``Chains``; here the tables are kept in step with it.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ladderfield.jobs.chains import Chains
+from ladderfield.jobs.model import CANCELLED
+from ladderfield.queues.work import Job
+
+if TYPE_CHECKING:
+    from ladderfield.foreman.desk import Desk
+
+log = logging.getLogger(__name__)
+
+
+class Waiting:
+    """Ties accepted jobs to each other, and lets them go."""
+
+    def __init__(self, desk: Desk, chains: Chains) -> None:
+        self.desk, self.chains = desk, chains
+
+    def tie(self, job: Job) -> None:
+        """What an accepted job waits for, and how urgent that makes the jobs before it."""
+        needs = job.spec.needs or ()
+        job.waits = self.chains.unmet(needs)
+        if needs:
+            job.since = max(job.at, self.chains.ready_at(needs) - self.desk.wall_offset)
+        if self.chains.cancelled(job.uid):
+            self.desk.orphaned[job] = None
+        self._hurry(job.uid)
+
+    def ended(self, uid: str, phase: str, now: float) -> None:
+        """A job's end is on record: jobs that wait for it are ready if it was the last, or cancelled with it."""
+        if phase == CANCELLED:
+            for later in self.chains.all_after(uid):
+                job = self.desk.jobs.get(later)
+                if job is not None and job.final is None:
+                    self.desk.orphaned[job] = None
+            self._hurry(uid)
+            return
+        for later in self.chains.after(uid):
+            job = self.desk.jobs.get(later)
+            if job is not None and job.final is None and uid in job.waits:
+                job.waits.discard(uid)
+                if not job.waits:
+                    log.info("job %s: ready, all that it waits for is done", job.uid)
+                    job.since, self.desk.changed = now, True
+
+    def _hurry(self, uid: str) -> None:
+        """Jobs are as urgent as what waits for them."""
+        for one in (uid, *self.chains.all_before(uid)):
+            job = self.desk.jobs.get(one)
+            if job is not None and one in self.chains:
+                rank, job.due = self.chains.urgency(one)
+                job.order = (rank,)
