--- a/ladderfield/jobs/test_needs.py
+++ b/ladderfield/jobs/test_needs.py
@@ -9,10 +9,11 @@
 import trio
 
 from ladderfield.http import Reply, Request
+from ladderfield.jobs.accept import Acceptor
 from ladderfield.jobs.door import Door
 from ladderfield.jobs.model import Malformed, parse
 from ladderfield.jobs.test_jobs import _door
-from ladderfield.testing import StateService, accepted, job
+from ladderfield.testing import StateService, accepted, job, settings
 
 A, B, C, D = (f"req-{n:06d}" for n in range(1, 5))
 ALL_NEW = {f"lf/v/n{n}": {"level": 1} for n in range(3)}
@@ -147,3 +148,29 @@
         assert (await ask(door, "POST", f"/api/jobs/{A}/cancel"))[1]["phase"] == "done"
         assert await phase(door, B) == "queued"
         nursery.cancel_scope.cancel()
+
+
+async def test_shared_records_fit_the_smaller_limits(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        door, service = await _door(monkeypatch, nursery)
+        state = msgspec.structs.replace(settings().cluster.state, value_kb=2.0, txn_ops=5)
+        small = msgspec.structs.replace(settings(), cluster=msgspec.structs.replace(settings().cluster, state=state))
+        door.acceptor = Acceptor(small, door.client, door.view, door.chains, 5.0)
+        nursery.start_soon(door.acceptor.run)
+        await put(service, ALL_NEW | {f"lf/f/req-{n:06d}": {"phase": "done"} for n in range(900, 930)})
+        await trio.sleep(1)
+        real, guards = service._multi, []
+
+        async def noted(body: dict[str, Any]) -> Reply:
+            guards.append(len(body["guards"]))
+            return await real(body)
+
+        service._multi = noted  # type: ignore[method-assign]
+        needs = [f"req-{n:06d}" for n in range(900, 930)]
+        async with trio.open_nursery() as users:
+            for n in range(20):
+                users.start_soon(submit, door, f"req-{n:06d}", *needs)
+        records = [value for key, (value, _, _) in service.keys.items() if key.startswith("lf/j/")]
+        assert sum(len(record["jobs"]) for record in records) == 20 and max(guards) <= 4 * 5
+        assert all(len(msgspec.json.encode(record)) <= 2 * 1024 for record in records)
+        nursery.cancel_scope.cancel()
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 
@@ -11,6 +13,7 @@
 from ladderfield.foreman.actor import Foreman, Reported
 from ladderfield.jobs.chains import Chains
 from ladderfield.leadership import EPOCH, Leadership, Term
+from ladderfield.settings import StateLimits
 from ladderfield.state import Change, Outcome, StateClient, View
 from ladderfield.testing import TYPES, accepted, job, settings
 from ladderfield.workers.report import Report, Rung
@@ -62,3 +65,19 @@
         assert message.done.is_set() and (message.answer is not None) is answered
         foreman._advance(now)
         assert len(foreman.desk.machines["m"].claims) == started
+
+
+async def test_the_epochs_record_fits_the_smaller_limit_whatever_controllers_are_called() -> None:
+    """Earlier foremen on it are a hint: they must never keep the epoch from being raised."""
+    own = settings()
+    state = msgspec.convert({"rps": 100, "write_rps": 25, "value_kb": 2, "txn_ops": 5}, StateLimits)
+    own = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, state=state))
+    client = StateClient(own)
+    view = View(client, own)
+    until = time.time() + 1000
+    before = {f"{n}" + "\u00e9" * 90: until + n for n in range(30)}
+    view.data[EPOCH] = ({"epoch": 6, "member": "n1", "before": before}, 4)
+    earlier = Leadership(own, client, view)._earlier()
+    record = {"epoch": 7, "member": "n0", "before": earlier}
+    assert 5 < len(earlier) < 30 and len(msgspec.json.encode(record)) <= 2 * 1024
+    assert max(before, key=lambda member: before[member]) in earlier, "who may answer longest"
