The grace period is bound to what a foreman surely knows: ran_cancelled in the gap

Change: reports are answered no later than known_at + cancel_s - lease_s, less the clocks' drift and the time a worker may need to notice. known_at is the sending of the last read that proved the view fresh, or a question over back that every other controller answered (vouching.py); one that restarted, is silent, of an older version or knows a later epoch vouches for nothing. Who confirms a cancellation tells the foreman at once; it counts like the record. Without the lease nothing is launched. A machine that keeps a cancelled task loses its lease in time, whether or not it can be deleted. Successors reckon with 3 leases while an older version may be left.

Tests: test_leadership asked for "2 + grace" after the lease's last renewal; the bound runs from what is known now, and is asked for as strictly. The scripted cluster closes a dead controller's connections (its old process went on answering over kept ones), and its time of day goes on with the fake clock: cancellations on record seemed to be long past, so that machines were deleted at once and tests of late deletions passed for that reason.

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -21,7 +21,7 @@
 from ladderfield.http import Client, NoAnswer
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
-from ladderfield.leadership import EPOCH, Term, grace_s
+from ladderfield.leadership import EPOCH, Term, grace_of
 from ladderfield.settings import Settings, address
 from ladderfield.state import Change, Outcome, Refused, StateClient, Unavailable, View
 from ladderfield.workers.machine import Machine
@@ -115,6 +115,15 @@
         self.hosts, self.sure = hosts, sure
 
 
+class Learnt:
+    """Cancellations that other controllers tell of; with these every one confirmed before ``known_at`` is known."""
+
+    __slots__ = ("known_at", "uids")
+
+    def __init__(self, uids: list[str], known_at: float = -math.inf) -> None:
+        self.uids, self.known_at = uids, known_at
+
+
 class Sole:
     """Every other controller has said, since our term began, that it is not foreman."""
 
@@ -132,10 +141,12 @@
         self.settings, self.term, self.client, self.view, self.cloud = settings, term, client, view, cloud
         workers = settings.cluster.workers
         self.report_s = workers.report_s
-        self.grace = grace_s(settings)
+        # An earlier foreman may go on answering for so long, of whatever version it is.
+        members = [settings.member, *(peer.member for peer in settings.peers)]
+        grace = max(grace_of(settings, view, member) for member in members)
         self._most = max(256, int(settings.cluster.quota.max_connections * INBOX))
         self.send, self.inbox = trio.open_memory_channel[Any](self._most)
-        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), self.grace, chains, term.before)
+        self.desk = Desk(settings, term.epoch, trio.current_time(), time.time(), grace, chains, term.before)
         self.desk.push = lambda machine: self._to_push.add(machine.host)
         self.ledger = Ledger(self.desk, term.stamp, settings.cluster.state.txn_ops)
         self.planner = Planner(self.desk)
@@ -195,6 +206,7 @@
             Seen: self._on_seen,
             Rented: self._on_rented,
             Deleted: self._on_deleted,
+            Learnt: self._on_learnt,
             Sole: self._on_sole,
             Tick: self._on_tick,
         }
@@ -257,7 +269,9 @@
             self._to_push.discard(host)
             if machine.relayed and not silent:
                 continue  # another controller reaches it, we likely don't: its orders go with the answers
-            orders = self.desk.sessions.orders(machine, now, None) if machine.epoch == self.term.epoch else []
+            orders: list[dict[str, Any]] = []
+            if machine.epoch == self.term.epoch:
+                orders = self.desk.sessions.orders(machine, now, None, self.term.may_start(now))
             if orders or silent or machine.epoch != self.term.epoch:
                 slow += silent
                 self._pushing[host] = silent
@@ -270,15 +284,15 @@
         if self._outranked(report, now):
             message.done.set()
             return
-        alive = now < self.term.renewed_at + self.term.ttl + self.grace
-        if self.term.over.is_set() or not alive:
+        patience = max(self.term.grace, self.term.ttl)
+        if not self.term.may_answer(now) or self.desk.vigil.lets_go(report.host, now, patience):
             message.done.set()
             return
         machine = self.desk.sessions.report(report, now, answering=True)
         orders: list[dict[str, Any]] = []
         if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
             machine.came(message.relayed, now)
-            orders = self.desk.sessions.orders(machine, now, report.tick)
+            orders = self.desk.sessions.orders(machine, now, report.tick, self.term.may_start(now))
         message.answer = {"epoch": self.term.epoch, "orders": orders}
         message.done.set()
 
@@ -372,6 +386,12 @@
                 if client is not None:
                     self.nursery.start_soon(client.drop)
 
+    def _on_learnt(self, message: Learnt, now: float) -> None:
+        for uid in message.uids:
+            # Confirmed after what we knew for sure, or we would know it.
+            self.desk.cancelled(uid, self.term.known_at, now)
+        self.term.knows(message.known_at)
+
     def _on_sole(self, message: Sole, now: float) -> None:
         self.desk.vigil.sole(now)
 
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -47,6 +47,7 @@
 PAUSE_MOST = 10.0  # of report_s
 OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
 OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
+HEARD = 4096  # cancellations not seen on record yet
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
 
@@ -74,6 +75,7 @@
         self.queues = Queues()
         self.types: dict[str, MachineType] = {}
         self.cancelled_at: dict[str, float] = {}
+        self.heard: dict[str, float] = {}  # cancellations not seen on record yet, and since when
         # What is to be recorded: claims, ends of tasks, jobs that are complete, and jobs of which nothing is left.
         self.pages = Pages(settings.cluster.state.value_kb)
         self.unrecorded: dict[Claim, None] = {}
@@ -98,7 +100,7 @@
         self.types = parse_types((data.get(TYPES) or (None, 0))[0])
         for key, (value, stamp) in data.items():
             if key.startswith(JOB):
-                self._add_jobs(key, value, stamp)
+                self._add_jobs(key, value, stamp, now)
         self.jobs = dict(sorted(self.jobs.items(), key=lambda pair: pair[1].at))
         for key, (value, _) in data.items():
             if key.startswith(FINAL):
@@ -167,7 +169,7 @@
                 if not record.live:
                     self.spent[record] = None
 
-    def _add_jobs(self, key: str, value: Any, stamp: int) -> None:
+    def _add_jobs(self, key: str, value: Any, stamp: int, now: float) -> None:
         """A record of accepted jobs. One that a job has been on twice is known already."""
         record = Record(key, stamp)
         for uid, entry in jobs_on(key, value).items():
@@ -178,12 +180,15 @@
                 self.outlook.arrived(job)
                 self.waiting.tie(job)
                 self.changed = True
+                if uid in self.heard:
+                    self._cancel(job, self.heard[uid], now)
             if all(one.key != key for one in job.records):
                 job.records.append(record)
                 record.live.add(uid)
 
     def _finalised(self, key: str, value: Any, now: float, loading: bool = False) -> None:
         job = self.jobs.get(key.removeprefix(FINAL))
+        self.heard.pop(key.removeprefix(FINAL), None)
         if not loading:
             self.waiting.ended(key.removeprefix(FINAL), value["phase"], now)
         if job is None:
@@ -193,12 +198,31 @@
             self._see_end(job)
             return
         if value["phase"] == CANCELLED:
-            self.cancelled_at[job.uid] = value.get("at", self.wall_offset + self.term_from) - self.wall_offset
-            log.info("job %s: cancelled, stopping %d tasks", job.uid, len(job.claims))
+            self._cancel(job, value.get("at", self.wall_offset + self.term_from) - self.wall_offset, now)
+            return
         for claim in list(job.claims.values()):
             self.stop(claim, "cancelled", now)
         self.finalised(job, value["phase"])
 
+    def _cancel(self, job: Job, since: float, now: float) -> None:
+        self.cancelled_at[job.uid] = since
+        log.info("job %s: cancelled, stopping %d tasks", job.uid, len(job.claims))
+        for claim in list(job.claims.values()):
+            self.stop(claim, "cancelled", now)
+        self.finalised(job, CANCELLED)
+
+    def cancelled(self, uid: str, since: float, now: float) -> None:
+        """Another controller says that it has put the job's cancellation on record. It counts like the record, and is
+        remembered until that is seen, as the job itself may be on record unseen too."""
+        job = self.jobs.get(uid)
+        if uid in self.heard or self.waiting.chains.cancelled(uid) or (job is not None and job.final is not None):
+            return
+        self.heard[uid] = since
+        while len(self.heard) > HEARD:
+            del self.heard[next(iter(self.heard))]
+        if job is not None:
+            self._cancel(job, since, now)
+
     def decided(self, job: Job, phase: str, now: float) -> None:
         """Our own write of the job's final state was answered."""
         self.finalised(job, phase)
@@ -220,7 +244,7 @@
         for change in changes:
             # First of all, as a batch that was read anew is not in the order of time: an end must find its job.
             if change.key.startswith(JOB):
-                self._add_jobs(change.key, change.value, change.stamp)
+                self._add_jobs(change.key, change.value, change.stamp, now)
         for change in changes:
             if change.key.startswith(FINAL):
                 self._finalised(change.key, change.value, now)
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -156,8 +156,12 @@
             log.warning("task %s: %s refused it: %s", task_name(claim.task), machine.host, rung.cause)
             job.not_before = now + desk.report_s
 
-    def orders(self, machine: Machine, now: float, tick: int | None) -> list[dict[str, Any]]:
-        """What the machine has to be told now. ``tick``: the report that this answers, None for a push."""
+    def orders(self, machine: Machine, now: float, tick: int | None, may_start: bool = True) -> list[dict[str, Any]]:
+        """What the machine has to be told now. ``tick``: the report that this answers, None for a push.
+
+        Without ``may_start`` nothing is launched, though it is on record: another controller may be foreman already,
+        and the job may be confirmed as cancelled there.
+        """
         desk = self.desk
         result: list[dict[str, Any]] = []
         if machine.deleting and not machine.claims:
@@ -174,7 +178,7 @@
                     claim.stop_at = now
                     result.append(self._stop(claim.task, claim.attempt, 0.0 if again else self._wind_down(claim)))
                 continue
-            if on_it or not claim.recorded or claim.inherited:
+            if on_it or not claim.recorded or claim.inherited or not may_start:
                 continue
             if attempt is not None:
                 if attempt in machine.doubts and claim.sent_tenure is None:
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/foreman/test_desk.py
@@ -418,7 +418,7 @@
 
 def test_a_foreman_that_stood_still_does_no_harm() -> None:
     """Incident inc-5681: a process woke up after its successor's term had begun, and saw all leases over."""
-    term = Term(EPOCH_NOW, 3, 1, renewed_at=100.0, ttl=2.0)
+    term = Term(EPOCH_NOW, 3, 1, renewed_at=100.0, ttl=2.0, grace=17.0, known_at=100.0)
     assert term.may_start(101.9)
     assert not term.may_start(132.0), "it starts, rents and deletes nothing before it has renewed its lease"
     stage = Stage()
--- a/ladderfield/foreman/test_size.py
+++ b/ladderfield/foreman/test_size.py
@@ -74,7 +74,8 @@
     quota = msgspec.structs.replace(own.cluster.quota, max_connections=sockets)
     own = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, quota=quota))
     client = StateClient(own)
-    foreman = Foreman(own, Term(7, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own), Chains(lambda key: None))
+    term = Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0)
+    foreman = Foreman(own, term, client, View(client, own), Cloud(own), Chains(lambda key: None))
     front, back = int(sockets * USERS_SHARE), back_most(sockets)
     assert machines + 100 <= front, "workers, and users beside them"
     assert back // peers >= 16, "relays"
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/foreman/test_unheard.py
@@ -167,7 +167,7 @@
     own = settings()
     client = StateClient(own)
     foreman = Foreman(
-        own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0), client, View(client, own), Cloud(own), Chains(lambda key: None)
+        own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0, 17.0, 0.0), client, View(client, own), Cloud(own), Chains(lambda key: None)
     )
     machine = foreman.desk.machines["m"] = Machine("m", "10.9.0.1:90", UNKNOWN, "za", False, 0.0)
     for heard_at, relayed, deaf_then in ((80.0, False, False), (100.0, True, False), (100.0, False, True)):
--- a/ladderfield/foreman/vigil.py
+++ b/ladderfield/foreman/vigil.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
@@ -88,6 +89,16 @@
             and not (machine.claims and self.desk.cancelled_at)
         )
 
+    def lets_go(self, host: str, now: float, patience: float) -> bool:
+        """Whether the machine's lease is to end, as it still holds a task whose cancellation was confirmed so long ago
+        that one more answer would keep it beyond cancel_s. Guards ``ran_cancelled`` where it can't be deleted: the
+        cloud is down, or the right to delete is gone."""
+        machine = self.desk.machines.get(host)
+        if machine is None or not self.desk.cancelled_at:
+            return False
+        times = (self.desk.cancelled_at.get(claim.job.uid, math.inf) for claim in machine.claims.values())
+        return now > min(times, default=math.inf) + patience
+
     def why(self, machine: Machine, now: float) -> str | None:
         """Why the machine has to go, or None."""
         desk = self.desk
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -17,6 +17,7 @@
 
 from ladderfield.http import Reply, Request
 from ladderfield.jobs.accept import Acceptor, record_size
+from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import (
     CANCELLED,
@@ -53,8 +54,10 @@
         view: View,
         chains: Chains,
         rollout: Rollout,
+        cancellations: Cancellations,
         links: Mapping[str, PeerLink] | None = None,
     ) -> None:
+        self.cancellations = cancellations
         self.client, self.view, self.chains, self.rollout, self.links = client, view, chains, rollout, links or {}
         self.state_ok = True  # whether the state service serves us; kept by the controller's health check
         self.teams = {team.name: team for team in settings.cluster.teams}
@@ -231,6 +234,7 @@
                 continue
             if outcome.failed is None:
                 log.info("job %s: cancelled by its user", uid)
+                self.cancellations.confirmed(uid, outcome.ledger)
                 return Reply(200, {"uid": uid, "phase": CANCELLED})
             with trio.move_on_at(until):
                 await self.view.reach(outcome.ledger)
--- a/ladderfield/jobs/test_jobs.py
+++ b/ladderfield/jobs/test_jobs.py
@@ -9,6 +9,7 @@
 import trio
 
 from ladderfield.http import Client, Request
+from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.door import Door
 from ladderfield.jobs.model import JobSpec, Malformed, impossible, parse, parse_types
@@ -82,7 +83,7 @@
     nursery.start_soon(view.run_reads)
     chains, rollout = Chains(view.get), Rollout(settings(), client, view)
     view.followers.append(chains.take)
-    door = Door(settings(), client, view, chains, rollout)
+    door = Door(settings(), client, view, chains, rollout, Cancellations())
     nursery.start_soon(door.acceptor.run)
     await trio.sleep(0.1)
     return door, service
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -15,6 +15,7 @@
 
 from ladderfield.http import encode
 from ladderfield.jobs.model import FULL
+from ladderfield.rollout import VOUCHING, level_of
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, Unavailable, View
 from ladderfield.workers.machine import CLOCKS
@@ -25,16 +26,30 @@
 FOREMAN = "lf/foreman"
 EPOCH = "lf/epoch"
 
-# How long a foreman that cannot renew its lease goes on answering reports, as a ratio of the workers' lease. It
-# spans an outage of the state service; a successor adds it before it calls an unheard machine's lease expired.
-GRACE = 3.0
+GRACE_BEFORE = 3.0  # of lease_s: the grace period of versions before this one, and never more than that
+KILLED = 0.25  # of report_s: how late a worker may notice that its lease is over
 RECORD = 64  # bytes of the epoch's record beside names
 TTL = 1.0  # of report_s: a crash costs about one round of reports
 
 
 def grace_s(settings: Settings) -> float:
-    """The bound on answers without a renewed lease."""
-    return GRACE * settings.cluster.workers.lease_s
+    """The grace period: how long after it last surely knew all cancellations a foreman may answer reports.
+
+    A worker goes on for lease_s after its last answered report. A cancellation that was confirmed right after that
+    moment, unknown to this foreman, is carried out within cancel_s all the same if nothing is answered later than this.
+    Where the settings leave nothing there is no grace period. A successor adds it before it calls an unheard machine's
+    lease expired; as it may be of the version before, it is never longer than that version's.
+    """
+    workers = settings.cluster.workers
+    left = workers.cancel_s / CLOCKS - workers.lease_s * CLOCKS - KILLED * workers.report_s
+    return max(0.0, min(left, GRACE_BEFORE * workers.lease_s))
+
+
+def grace_of(settings: Settings, view: View, member: str) -> float:
+    """The longest that a controller may answer reports after another was elected."""
+    if level_of(view, member) >= VOUCHING:
+        return grace_s(settings)
+    return GRACE_BEFORE * settings.cluster.workers.lease_s
 
 
 @dataclass
@@ -46,6 +61,8 @@
     hold: int
     renewed_at: float  # when the last renewal that succeeded was sent
     ttl: float
+    grace: float
+    known_at: float  # every cancellation that was confirmed before this is surely known here
     before: dict[str, float] = field(
         default_factory=dict
     )  # earlier foremen who may still answer; until what time of day
@@ -53,7 +70,17 @@
 
     def may_start(self, now: float) -> bool:
         """Whether new work may begin: only while the lease is surely ours."""
-        return not self.over.is_set() and now < self.renewed_at + self.ttl / CLOCKS
+        return self.may_answer(now) and now < self.renewed_at + self.ttl / CLOCKS
+
+    def may_answer(self, now: float) -> bool:
+        """Whether reports may be answered, which keeps tasks alive for lease_s more. Guards ``ran_cancelled``: others
+        confirm cancellations that this controller, cut off from the state service, may never hear of."""
+        until = self.known_at + self.grace if self.grace > 0 else self.renewed_at + self.ttl / CLOCKS
+        return not self.over.is_set() and now < until
+
+    def knows(self, at: float) -> None:
+        """Every cancellation that was confirmed before this moment is known here."""
+        self.known_at = max(self.known_at, at)
 
     def end(self, why: str) -> None:
         """Step down."""
@@ -109,7 +136,8 @@
         record, now = self.view.get(EPOCH) or {}, time.time()
         earlier = {member: until for member, until in record.get("before", {}).items() if until > now}
         if record.get("member"):
-            earlier[record["member"]] = round(now + self.grace, 3)
+            grace = grace_of(self.settings, self.view, record["member"])
+            earlier[record["member"]] = round(now + grace, 3)
         earlier.pop(self.settings.member, None)
         # A hint must not keep the epoch from being raised: what makes the record too large is left out.
         most = self.settings.cluster.state.value_kb * 1024 * FULL - RECORD
@@ -162,7 +190,7 @@
             # We stood still meanwhile. The lease may be over, others may have heard from us that we are not foreman.
             return None
         log.info("epoch %d: foreman is %s", epoch, self.settings.member)
-        return Term(epoch, outcome.ledger, hold, sent, self.ttl, before)
+        return Term(epoch, outcome.ledger, hold, sent, self.ttl, self.grace, sent, before)
 
     async def _serve(
         self, term: Term, terms: trio.MemorySendChannel[Term], changes: trio.MemoryReceiveChannel[list]
@@ -200,5 +228,6 @@
                     term.end("its lease ended")
             except Unavailable as error:
                 log.debug("epoch %d: renewal: %s", term.epoch, error)
-                if trio.current_time() > term.renewed_at + self.ttl + self.grace:
+                now = trio.current_time()
+                if now > term.renewed_at + self.ttl and not term.may_answer(now):
                     term.end("its lease could not be renewed")
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,13 +1,16 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
-Only two things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
-controller; and each learns how the others are: whether the state service serves them, that they are not foreman, and
-who is. So a foreman that the state service alone has lost steps down as soon as its successor can be asked, and a
-controller without the state service still sends workers to the right place.
+Three things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
+controller; each learns how the others are: whether the state service serves them, that they are not foreman, and
+who is; and a foreman learns of cancellations that it can't see on record (``vouching.py``). So a foreman that the state
+service alone has lost steps down as soon as its successor can be asked, and a controller without the state service
+still sends workers to the right place.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
     health: leads B | epoch Q | name of that epoch's foreman
 
+The last two kinds are sent only to who has said on record that it takes them (``rollout.py``).
+
 ``status`` is an HTTP status in answers, and in a relay the number of controllers that have carried it already.
 """
 
@@ -27,7 +30,7 @@
 HEAD = struct.Struct("!2sBBHI")
 MAGIC, VERSION = b"lf", 2
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
-RELAY, ANSWER, HEALTH = 1, 2, 3
+RELAY, ANSWER, HEALTH, VOUCH, CANCELLED = 1, 2, 3, 4, 5
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
 BACK_SHARE = 1 / 16  # of the sockets: what the others may open to us, and so we to them all together
 
@@ -51,7 +54,7 @@
 def unpack_head(head: bytes) -> tuple[int, int, int]:
     """Kind, status and length of the body to come."""
     magic, version, kind, status, length = HEAD.unpack(head)
-    if magic != MAGIC or version != VERSION or kind not in (RELAY, ANSWER, HEALTH) or length > BODY_MOST:
+    if magic != MAGIC or version != VERSION or not RELAY <= kind <= CANCELLED or length > BODY_MOST:
         raise BadFrame(f"{head.hex()} is no frame head")
     return kind, status, length
 
--- a/ladderfield/rollout.py
+++ b/ladderfield/rollout.py
@@ -18,7 +18,16 @@
 log = logging.getLogger(__name__)
 
 VERSION = "lf/v/"  # a controller, and what its program understands
-LEVEL = 1  # jobs that wait for others
+WAITING = 1  # jobs that wait for others
+VOUCHING = 2  # questions about cancellations over ``back``, and the grace period that they allow
+LEVEL = VOUCHING
+
+
+def level_of(view: View, member: str) -> int:
+    """What a controller's program understands, as far as is on record here."""
+    value = view.get(VERSION + member)
+    level = value.get("level") if isinstance(value, dict) else None
+    return level if isinstance(level, int) else 0
 
 
 class Rollout:
@@ -26,27 +35,23 @@
 
     def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
         self.client, self.view = client, view
-        self.key = VERSION + settings.member
-        self.keys = [self.key, *(VERSION + peer.member for peer in settings.peers)]
+        self.member = settings.member
+        self.key = VERSION + self.member
+        self.members = [self.member, *(peer.member for peer in settings.peers)]
         self.pause = settings.cluster.workers.report_s / 4
         self._complete = False
 
     @property
     def complete(self) -> bool:
-        """Whether every controller understands what this one does."""
+        """Whether every controller understands jobs that wait for others."""
         if not self._complete:
-            self._complete = all(self._level(key) >= LEVEL for key in self.keys)
+            self._complete = all(level_of(self.view, member) >= WAITING for member in self.members)
         return self._complete
 
-    def _level(self, key: str) -> int:
-        value = self.view.get(key)
-        level = value.get("level") if isinstance(value, dict) else None
-        return level if isinstance(level, int) else 0
-
     async def run(self) -> None:
         """Put it on record as soon as there is a view, and look after it."""
         while True:
-            if self.view.synced and self._level(self.key) < LEVEL:
+            if self.view.synced and level_of(self.view, self.member) < LEVEL:
                 try:
                     await self.client.writes.take(urgent=True)
                     guards = {self.key: self.view.stamp(self.key)}
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -9,16 +9,18 @@
 import trio
 
 from ladderfield.fleet.cloud import Cloud, CloudTrouble
-from ladderfield.foreman.actor import Foreman, Sole
+from ladderfield.foreman.actor import Foreman, Learnt, Sole
 from ladderfield.http import Reply, Request, Server
+from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.door import SUBMIT_S, Door
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.leadership import Leadership, Term
-from ladderfield.peers import HEALTH, RELAY, SELF, BackServer, PeerLink, back_most
+from ladderfield.peers import CANCELLED, HEALTH, RELAY, SELF, VOUCH, BackServer, PeerLink, back_most
 from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, Unavailable, View
+from ladderfield.vouching import Strange, Vouching, parse_uids
 from ladderfield.workers.intake import ReportDesk
 
 log = logging.getLogger(__name__)
@@ -39,10 +41,13 @@
         at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
         self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
         self.chains = Chains(self.view.get)
-        self.view.followers.append(self.chains.take)
+        self.cancellations = Cancellations()
+        self.view.followers += [self.chains.take, self.cancellations.take]
         self.rollout = Rollout(settings, self.client, self.view)
-        self.door = Door(settings, self.client, self.view, self.chains, self.rollout, self.links)
+        self.door = Door(settings, self.client, self.view, self.chains, self.rollout, self.cancellations, self.links)
         self.reports = ReportDesk(settings, self.leadership, self.links)
+        self.vouching = Vouching(self.leadership, self.view, self.cancellations, self.links)
+        self.vouching.deliver = lambda uids: self.reports.tell_foreman(Learnt(uids))
 
     async def handle(self, request: Request) -> Reply:
         """Any request to ``bind``."""
@@ -59,6 +64,14 @@
             leads = self.leadership.term is not None or self.reports.inbox is not None
             epoch, foreman = self.leadership.latest()
             return (200 if self.door.state_ok else 503), SELF.pack(leads, epoch) + foreman.encode()
+        if kind == VOUCH:
+            return self.vouching.answer(body)
+        if kind == CANCELLED:
+            try:
+                self.reports.tell_foreman(Learnt(parse_uids(body)))
+            except Strange:
+                return 400, b""
+            return 200, b""
         return 400, b""
 
     async def run_health(self) -> None:
@@ -72,6 +85,11 @@
                 self.door.state_ok = await self.view.fresh(pause)
             for link in self.links.values():
                 self.leadership.told(*link.knows)
+            if term is not None and not term.over.is_set():
+                if self.door.state_ok:
+                    term.knows(self.view.proven_at)
+                else:
+                    self.reports.tell_foreman(Learnt(*await self.vouching.ask(term, pause)))
             if (
                 term is not None
                 and term is self.leadership.term
@@ -122,6 +140,7 @@
                 self.rollout.run,
                 self.run_types,
                 self.run_health,
+                partial(self.vouching.run_notices, self.settings.cluster.workers.report_s / 2),
             ):
                 nursery.start_soon(self._keep, actor)
 
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -212,6 +212,7 @@
         self.client = client
         self.data: dict[str, tuple[Any, int]] = {}
         self.ledger = -1
+        self.proven_at = -math.inf  # when the last read was sent that proved the view to be fresh
         self.synced = False
         self._patience = settings.cluster.workers.report_s / 2
         self._moved = trio.Event()
@@ -353,6 +354,7 @@
             if read.ledger is None:
                 return False
             await self.reach(read.ledger)
+            self.proven_at = max(self.proven_at, read.sent_at)
             return True
         return False
 
@@ -365,7 +367,7 @@
             if read is None or read.started:
                 continue
             await self.client.calls.take()
-            read.started = True
+            read.started, read.sent_at = True, trio.current_time()
             try:
                 read.ledger = await self.client.ledger(self._patience)
             except Unavailable as error:
@@ -376,8 +378,9 @@
 class _Read:
     """One shared read; those who came before it started may use it."""
 
-    __slots__ = ("answered", "ledger", "started")
+    __slots__ = ("answered", "ledger", "sent_at", "started")
 
     def __init__(self) -> None:
         self.started, self.answered = False, trio.Event()
+        self.sent_at = -math.inf
         self.ledger: int | None = None
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -48,7 +48,7 @@
     client = StateClient(settings())
     foreman = Foreman(
         settings(),
-        Term(7, 3, 1, 0.0, 2.0),
+        Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0),
         client,
         View(client, settings()),
         Cloud(settings()),
@@ -57,7 +57,7 @@
     foreman._push = lambda now: None  # type: ignore[method-assign]
     foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
     foreman.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
-    bound = 2.0 + foreman.grace
+    bound = foreman.term.known_at + foreman.term.grace
     for now, answered, started in ((bound - 0.1, True, 0), (bound + 0.1, False, 0), (1.0, True, 1)):
         message = Reported(_report(int(1000 - now)), False)
         foreman.desk.sessions.report(_report(int(2000 - now)), now, answering=False)
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -80,6 +80,7 @@
         self.serving: dict[tuple[str, int], Callable[[Any], Awaitable[None]]] = {}
         self.cut: set[str] = set()
         self.cut_ports: set[tuple[str, int]] = set()  # the same for single ports
+        self._open: dict[tuple[str, int], list[trio.CancelScope]] = {}  # connections, by whom they lead to
 
     def listen(self, text: str, serve: Callable[[Any], Awaitable[None]]) -> None:
         """Somebody answers at an address."""
@@ -97,9 +98,23 @@
         if (host, port) not in self.serving:
             raise OSError("refused")
         ours, theirs = trio.testing.memory_stream_pair()
-        self.nursery.start_soon(self.serving[host, port], theirs)
+        scope = trio.CancelScope()
+        self._open.setdefault((host, port), []).append(scope)
+        self.nursery.start_soon(self._serve, self.serving[host, port], theirs, scope)
         return ours
 
+    async def _serve(self, serve: Callable[[Any], Awaitable[None]], stream: Any, scope: trio.CancelScope) -> None:
+        with scope:
+            await serve(stream)
+        await trio.aclose_forcefully(stream)
+
+    def close(self, text: str) -> None:
+        """Who answered at an address is gone, and with it its connections."""
+        host, _, port = text.partition(":")
+        self.serving.pop((host, int(port)), None)
+        for scope in self._open.pop((host, int(port)), ()):
+            scope.cancel()
+
 
 class StateService:
     """The state service in memory."""
--- a/ladderfield/testing_cluster.py
+++ b/ladderfield/testing_cluster.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -11,6 +12,7 @@
 import msgspec
 import pytest
 import trio
+from trio.lowlevel import in_trio_run
 
 from ladderfield.http import Client, NoAnswer, Server
 from ladderfield.peers import BackServer, PeerLink
@@ -61,8 +63,7 @@
         """End a controller's process with no warning."""
         own = settings(number)
         for text in (own.bind, own.back):
-            host, _, port = text.partition(":")
-            self.net.serving.pop((host, int(port)), None)
+            self.net.close(text)
         self.scopes[number].cancel()
         del self.controllers[number]
 
@@ -131,6 +132,9 @@
     """A running cluster."""
     async with trio.open_nursery() as nursery:
         whole = Cluster(nursery)
+        # The time of day goes on with the fake clock, or else what is on record would seem to be long past.
+        began, real = time.time() - trio.current_time(), time.time
+        monkeypatch.setattr("time.time", lambda: began + trio.current_time() if in_trio_run() else real())
         monkeypatch.setattr("ladderfield.http.connect", whole.net.connect)
         monkeypatch.setattr("ladderfield.peers.connect", whole.net.connect)
         for number in range(nodes):
@@ -166,3 +170,16 @@
         link.reachable = False
 
     return ask
+
+
+def refuse(whole: Cluster, number: int) -> None:
+    """The state service refuses one controller alone; its open watch waits, as in an outage."""
+
+    async def unavailable(*_: Any, **__: Any) -> tuple[int, bytes]:
+        await trio.sleep(0.01)
+        return 503, b"{}"
+
+    alone = whole.controllers[number]
+    alone.client._client.call = alone.client._watcher.call = unavailable  # type: ignore[method-assign]
+    if alone.view._restart is not None:
+        alone.view._restart.cancel()
