--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -244,6 +244,7 @@
         self.log: list[tuple[float, str, int]] = []
         self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
+        self.hung_until = -math.inf  # it does nothing until then; what reached it meanwhile is carried out late
         self.deaf = False  # its reports go out, but no answer and no command comes in
         self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
         self.dead = False
@@ -288,8 +289,16 @@
                     del self.rungs[name]
         return True
 
+    def hang(self, for_s: float) -> None:
+        """Do nothing for a while."""
+        self._progress()
+        self.hung_until = trio.current_time() + for_s
+        for name in self.ends:
+            self.ends[name] += for_s
+
     async def __call__(self, request: Request) -> Reply:
         """/orders and /show."""
+        await trio.sleep_until(self.hung_until)
         if self.dead or self.deaf or self.address in self.net.cut:
             await trio.sleep_forever()
         if request.path == "/orders":
@@ -309,6 +318,7 @@
         answered, node = trio.current_time(), 0
         while True:
             await trio.sleep(0.5)
+            await trio.sleep_until(self.hung_until)
             if trio.current_time() - answered > 12.0:
                 self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
                 answered = trio.current_time()
