--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -111,6 +111,11 @@
         self.holds: dict[int, tuple[float, float]] = {}  # hold -> (ttl, ends)
         self.down = False
         self.lose_answers = 0  # so many transactions are applied, but never answered
+        self.keeps: Callable[[list[str]], bool] = lambda keys: False  # transactions on such keys are kept back, with
+        self.kept: list[dict[str, Any]] = []  # no answer, until ``carry_out``: after newer ones
+        self.answer_s: Callable[[list[str]], float] = lambda keys: 0.0  # carried out at once, answered so much later
+        self.slow_s = 0.0  # every answer takes so long
+        self.page_most = 1000
         self.calls = 0
         self.watch_lag = 0.0
         self.moved = trio.Event()
@@ -151,7 +156,7 @@
         if path == "/watch":
             return await self._watch(params)
         self.calls += 1
-        await trio.sleep(0.002)
+        await trio.sleep(0.002 + self.slow_s)
         if self.down:
             return Reply(503, {"error": "trouble"})
         body = msgspec.json.decode(request.body) if request.body else {}
@@ -171,7 +176,7 @@
             found = sorted(
                 key for key in self.keys if key.startswith(params["starts"]) and key > params.get("after", "")
             )
-            most = int(params["limit"])
+            most = min(int(params["limit"]), self.page_most)
             pairs = [{"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]} for key in found[:most]]
             return Reply(200, {"pairs": pairs, "hasNext": len(found) > most, "ledger": self.ledger})
         key = path.removeprefix("/keys/")
@@ -180,6 +185,26 @@
         return Reply(200, {"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]})
 
     async def _multi(self, body: dict[str, Any]) -> Reply:
+        keys = [step["put"] if "put" in step else step["delete"] for step in body["apply"]]
+        if self.keeps(keys):
+            self.kept.append(body)
+            await trio.sleep_forever()
+        reply = self._apply(body)
+        if reply.status == 200:
+            if self.lose_answers:
+                self.lose_answers -= 1
+                await trio.sleep_forever()
+            await trio.sleep(self.answer_s(keys))
+        return reply
+
+    def carry_out(self) -> list[int]:
+        """Carry out what was kept back, in the order of its coming; the statuses, of which nobody else hears."""
+        kept, self.kept = self.kept, []
+        return [self._apply(body).status for body in kept]
+
+    def _apply(self, body: dict[str, Any]) -> Reply:
+        if any(step.get("hold") is not None and step["hold"] not in self.holds for step in body["apply"]):
+            return Reply(400, {"error": "no such lease"})
         failed = [guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]]
         if failed:
             return Reply(409, {"failed": failed, "ledger": self.ledger})
@@ -191,9 +216,6 @@
                 else:
                     self._change(step["delete"], None, None)
             self._announce()
-        if self.lose_answers:
-            self.lose_answers -= 1
-            await trio.sleep_forever()
         return Reply(200, {"ledger": self.ledger})
 
     async def _watch(self, params: dict[str, str]) -> Reply:
