--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -40,7 +40,7 @@
 class Wanted:
     """A job that is to be put on record, and what became of it."""
 
-    __slots__ = ("done", "known_at", "record", "size", "uid")
+    __slots__ = ("done", "known_at", "record", "size", "uid", "writing", "written_at")
 
     def __init__(self, uid: str, record: dict[str, Any]) -> None:
         self.uid, self.record = uid, record
@@ -48,6 +48,8 @@
         self.done = trio.Event()
         # None: not on record by us; 0: it is; else the revision by which something on record speaks of it already.
         self.known_at: int | None = None
+        self.written_at = 0  # the revision by which it is on record, if that is our doing
+        self.writing = False  # a write with it has been begun, so that others may know more of it than we do
 
 
 class Acceptor:
@@ -78,6 +80,12 @@
             del self._waiting[uid]
         return wanted
 
+    def writing(self, uid: str) -> bool:
+        """Whether a write with this job has been begun: it may be on record, and what follows from that too, however
+        long its answer takes. Who asks now can't be told by that answer alone how the job is."""
+        wanted = self._waiting.get(uid)
+        return wanted is not None and wanted.writing
+
     def _turn_in(self) -> float:
         """How long a job that comes now would wait until it is written."""
         ahead = sum(wanted.size for wanted in self._waiting.values()) / self.most_bytes
@@ -108,6 +116,9 @@
 
     async def _write(self, batch: list[Wanted]) -> None:
         key = JOB + batch[0].uid
+        for wanted in batch:
+            wanted.writing = True
+        # A final state guards each job: a copy of this that is carried out late brings nothing back that is over.
         guards = {key: 0} | {FINAL + wanted.uid: 0 for wanted in batch}
         value = {"jobs": {wanted.uid: wanted.record for wanted in batch}}
         try:
@@ -130,6 +141,7 @@
             return
         if outcome.failed is None:
             for wanted in batch:
+                wanted.written_at = outcome.ledger
                 self._answer(wanted, 0)
             return
         # Some are known: decided already, or written by an earlier copy of this very write or by another door. The
--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -122,13 +122,18 @@
             return final
         kinds = self.types()
         why = (impossible(spec, kinds, self.teams) if kinds else "unknown types") or self._hopeless(spec)
-        if uid in self.chains or why is not None:
-            # Known already, or to be refused: both need the proof that nothing newer says otherwise.
+        record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
+        too_large = record_size(uid, record) > self.acceptor.most_bytes
+        if uid in self.chains or why is not None or too_large:
+            # Known already, or to be refused: both need the proof that nothing newer says otherwise. Another door, or
+            # one with larger limits, may have accepted it, and an accepted job is never refused.
             if not await self.view.fresh(SUBMIT_S * SPARE):
                 return busy(1)
             known = self._state(uid)
             if known is not None:
                 return known
+            if too_large:
+                return Reply(400, {"error": "its description is too large to be put on record"})
             if not kinds:
                 return busy(2)
             why = impossible(spec, kinds, self.teams) or self._hopeless(spec)
@@ -136,24 +141,39 @@
                 return Reply(422, {"error": why})
         if spec.needs and not self.rollout.complete:
             return busy(2)  # an older version would start its tasks too early
-        record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block}
-        if record_size(uid, record) > self.acceptor.most_bytes:
-            return Reply(400, {"error": "its description is too large to be put on record"})
         until = trio.current_time() + SUBMIT_S * SPARE
+        late = self.acceptor.writing(uid)
         wanted = await self.acceptor.accept(uid, record, until)
+        if late and wanted.known_at is not None:
+            # The write was begun before this was asked. While its answer was on the way others may have read it, and
+            # cancelled the job and said so.
+            return (await self.view.fresh(max(0.0, until - trio.current_time())) and self._state(uid)) or busy(1)
         if wanted.known_at == 0:
             log.info(
                 "job %s: accepted, %s of %s, %d tasks, expects %.0f s, due %s",
                 uid, spec.job_class, spec.team, spec.tasks, spec.estimate_s, spec.deadline_s,
             )  # fmt: skip
-            cancelled = any(self.chains.cancelled(need) for need in spec.needs or ())
-            return Reply(201, {"uid": uid, "phase": CANCELLED if cancelled else "queued"})
+            return await self._accepted(spec, wanted.written_at, until)
         if wanted.known_at:
             with trio.move_on_at(until):
                 await self.view.reach(wanted.known_at)
                 return self._state(uid) or busy(1)
         return busy(1)
 
+    async def _accepted(self, spec: JobSpec, written_at: int, until: float) -> Reply:
+        """The answer for a job that we have put on record."""
+        phase = "queued"
+        if spec.needs:
+            # It may stand on another door's record as well and have been called cancelled by then, with one that it
+            # needs and without a final record of its own, which would have stopped our write. So the view has to
+            # hold all that came before.
+            with trio.move_on_at(until) as scope:
+                await self.view.reach(written_at)
+            if scope.cancelled_caught:
+                return busy(1)
+            phase = CANCELLED if self.chains.cancelled(spec.uid) else phase
+        return Reply(201, {"uid": spec.uid, "phase": phase})
+
     def _hopeless(self, spec: JobSpec) -> str | None:
         """Why what the job waits for can never be done, as far as the view tells."""
         needs = spec.needs or ()
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -213,6 +213,7 @@
         self.data: dict[str, tuple[Any, int]] = {}
         self.ledger = -1
         self.synced = False
+        self._whole_at = -1  # what was read in several pages is of one moment only from this revision on
         self._patience = settings.cluster.workers.report_s / 2
         self._moved = trio.Event()
         self._restart: trio.CancelScope | None = None
@@ -273,6 +274,7 @@
         changes = [Change(key, value, stamp) for key, (value, stamp) in data.items() if self.stamp(key) != stamp]
         changes += [Change(key, None, first) for key in self.data if key not in data]
         self.data = data
+        self._whole_at = page.ledger
         self.synced = True
         await self._reached(first, changes)
 
@@ -326,14 +328,19 @@
         has not brought what is known to exist is opened again, well within the time that a poll waits; if that
         does not help either, the service is slow, and the next one is given longer.
         """
-        while self.ledger < ledger:
+        while not self._holds(ledger):
             with trio.move_on_after(self._hang):
-                while self.ledger < ledger:
+                while not self._holds(ledger):
                     await self._moved.wait()
-            if self.ledger < ledger and self._restart is not None and self._watched_for() >= self._hang:
+            if not self._holds(ledger) and self._restart is not None and self._watched_for() >= self._hang:
                 self._hang = min(self._hang * 2, self._patience * 2)
                 self._restart.cancel()
 
+    def _holds(self, ledger: int) -> bool:
+        """Whether the view is that of one moment, not before a revision. Between two pages that were read a job may
+        have ended and been cleared away: the first lacks its end, the second its record, and it would seem unknown."""
+        return self.ledger >= max(ledger, self._whole_at)
+
     def _watched_for(self) -> float:
         return trio.current_time() - self._watch_at
 
