Old messages: reports, commands and transactions of before, after what was decided since

workers/test_old_messages.py: of each writer (submissions, ends and cancellations, claims, elections, rollout) some transactions are carried out after newer ones, or at once with the answer lost while others read; reports of an earlier attempt or session, or from before the launch, reach every controller as a new leader begins and after it has acted; launches of a leader that ended are held up while their machine hangs.

A scripted worker now drops its tasks at the very moment its lease ends, not up to one round of its reports later.

--- a/ladderfield/jobs/test_close_looks.py
+++ b/ladderfield/jobs/test_close_looks.py
@@ -108,6 +108,22 @@
             assert again is not None and again.phase == phase, "a cancellation that comes too late is told so"
 
 
+async def test_a_cancellation_of_which_the_foreman_has_not_heard_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The last task ends just after the cancellation was confirmed; the foreman would call the job done."""
+    async with cluster(monkeypatch) as whole:
+        looks, uid = Looks(whole), await whole.submit(rungs=1)
+        worker = await whole.busy(uid)
+        await trio.sleep(2 * REPORT_S)
+        foreman = whole.foreman()
+        await _lag(whole, foreman, 2 * REPORT_S)
+        await looks.ask((foreman + 1) % 3, "cancel", uid)
+        worker.ends[f"{uid}/0"] = 0.0
+        await looks.crowd(uid, 4 * REPORT_S, every_s=0.3)
+        told = looks.told(uid, "cancelled")
+        assert told is not None and len(whole.starts(uid)) == 1
+        looks.check()
+
+
 async def test_a_submission_that_joins_an_unanswered_write_is_not_told_by_its_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -246,11 +246,13 @@
         self.endless: Callable[[str], bool] = lambda uid: False  # which jobs are services
         self.fail: set[str] = set()  # jobs whose tasks fail here
         self.tenure, self.tick, self.epoch = 1, 0, 0
+        self.answered = trio.current_time()  # when the last answered report was sent
         self.rungs: dict[str, dict[str, Any]] = {}
         self.ends: dict[str, float] = {}
         self.log: list[tuple[float, str, int]] = []
         self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
+        self.loses_answers = False  # carries /orders out, but its answers are lost
         self.deaf = False  # its reports go out, but no answer and no command comes in
         self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
         self.dead = False
@@ -265,6 +267,9 @@
         }  # fmt: skip
 
     def _progress(self) -> None:
+        if trio.current_time() - self.answered > 12.0:
+            self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
+            self.answered = trio.current_time()
         for name, rung in self.rungs.items():
             if rung["phase"] == "running" and trio.current_time() >= self.ends[name]:
                 rung |= {"phase": "exited", "cause": "error" if name.split("/")[0] in self.fail else "done"}
@@ -304,7 +309,10 @@
             if self.hold:
                 self.held.append(body)
                 await trio.sleep_forever()
-            return Reply(200 if self.late(body) else 409, self.body())
+            status = 200 if self.late(body) else 409
+            if self.loses_answers:
+                await trio.sleep_forever()
+            return Reply(status, self.body())
         return Reply(200, self.body())
 
     def late(self, body: dict[str, Any]) -> bool:
@@ -313,12 +321,10 @@
 
     async def run(self) -> None:
         """Report for ever."""
-        answered, node = trio.current_time(), 0
+        node = 0
         while True:
             await trio.sleep(0.5)
-            if trio.current_time() - answered > 12.0:
-                self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
-                answered = trio.current_time()
+            self._progress()
             if self.dead or self.address in self.net.cut:
                 continue
             host, _, port = self.controllers[node].partition(":")
@@ -334,7 +340,7 @@
                 status = 0
                 await trio.sleep_until(sent + 4.0)
             if status == 200 and tenure == self.tenure and self.obey(answer.get("epoch"), answer.get("orders", [])):
-                answered = sent
+                self.answered = sent
             elif status == 421 and answer.get("foreman"):
                 node = int(answer["foreman"][1:])
             else:
--- /dev/null
+++ b/ladderfield/workers/test_old_messages.py
@@ -0,0 +1,207 @@
+"""Messages that come late: reports, commands and transactions of before, after what was decided since."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+import trio
+
+from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, rung
+from ladderfield.testing import Worker, accepted, job
+from ladderfield.testing_cluster import Cluster, cluster
+from ladderfield.testing_looks import Looks
+
+REPORT_S = 2.0
+WRITERS = {
+    "submissions": "lf/j/",
+    "ends and cancellations": "lf/f/",
+    "claims": "lf/p/",
+    "elections": "lf/epoch",
+    "rollout": "lf/v/",
+}
+
+
+async def _asked_until(looks: Looks, verb: str, uid: str, status: tuple[int, ...]) -> None:
+    """A user who asks again elsewhere, as users do."""
+    for number in range(60):
+        look = await looks.ask(number % 3, verb, uid)
+        if look is not None and look.status in status:
+            return
+        await trio.sleep(1)
+    raise AssertionError(f"{verb} {uid}: {looks.seen.get(uid)}")
+
+
+@pytest.mark.parametrize("late", [True, False], ids=["late", "answer lost"])
+@pytest.mark.parametrize("writer", list(WRITERS))
+async def test_transactions_without_an_answer_do_no_harm(
+    monkeypatch: pytest.MonkeyPatch, writer: str, late: bool
+) -> None:
+    """Of each writer some are carried out only after newer ones, or at once, with others reading what they wrote."""
+    async with cluster(monkeypatch) as whole:
+        state, looks = whole.state, Looks(whole)
+        most = left = 1 if writer == "elections" else 3
+
+        def lost(keys: list[str]) -> bool:
+            nonlocal left
+            found = left > 0 and any(key.startswith(WRITERS[writer]) for key in keys)
+            left -= found
+            return found
+
+        def carry_out() -> None:
+            before = dict(state.keys)
+            assert not set(state.carry_out()) - {409}, "what is carried out after newer ones does nothing"
+            assert state.keys == before
+
+        if late:
+            state.keeps = lost
+        else:
+            state.answer_s = lambda keys: math.inf if lost(keys) else 0.0
+        if writer == "rollout":
+            for number in range(3):
+                state._apply({"guards": [], "apply": [{"put": f"lf/v/n{number}", "value": {"level": 0}}]})
+        steady, ends, off = "req-000001", "req-000002", "req-000003"
+        whole.jobs |= {
+            steady: job(steady, shape="daemon"),
+            ends: job(ends, rungs=4, cores=1.0),
+            off: job(off, shape="daemon", cores=1.0),
+        }
+        for uid in whole.jobs:
+            await _asked_until(looks, "POST", uid, (200, 201))
+        await whole.busy(off)
+        await looks.crowd(off, 0.1)
+        await _asked_until(looks, "cancel", off, (200,))
+        await looks.crowd(off, 0.1)
+        await whole.until(0, ends, "done", 60)
+        await looks.crowd(ends, 0.1)
+        await trio.sleep(2 * REPORT_S)
+        carry_out()
+        first = whole.foreman()
+        whole.crash(first)
+        while not any(one.reports.inbox is not None for one in whole.controllers.values()):
+            await trio.sleep(0.05)
+        carry_out()  # while the lease of an election that was asked for again may last
+        whole.start(first)
+        await trio.sleep(6)
+        assert left < most, "it was met"
+        epoch = whole.controllers[whole.foreman()].leadership.known_epoch()
+        assert epoch <= 2 + (writer == "elections" and not late), "and ends no term"
+        for uid, phase in ((steady, "running"), (ends, "done"), (off, "cancelled")):
+            await looks.crowd(uid, 0.05, ("GET", "POST"))
+            assert [await whole.phase(node, uid) for node in range(3)] == [phase] * 3
+        looks.check()
+        assert len(whole.starts(steady)) == 2 and len(whole.starts(ends)) == 4 and not looks.on(off)
+
+
+async def _old(whole: Cluster, uid: str, what: str) -> tuple[Worker, list[dict[str, Any]]]:
+    """A machine and reports of it that are no longer so."""
+    worker = await whole.busy(uid)
+    if what == "an earlier attempt":
+        worker.fail, worker.ends[f"{uid}/0"] = {uid}, 0.0
+        await trio.sleep(2 * REPORT_S)
+    elif what == "an earlier session":
+        await trio.sleep(REPORT_S)
+        whole.cloud.down = True
+        whole.net.cut.add(worker.address)
+        await trio.sleep(14)
+        whole.net.cut.discard(worker.address)
+        whole.cloud.down = False
+        await trio.sleep(2 * REPORT_S)
+        assert worker.tenure == 2
+    elif what == "before the launch":
+        return worker, [body for body in worker.sent if uid not in str(body["rungs"])]
+    assert len(whole.starts(uid)) == 2
+    return worker, [body for body in worker.sent if body["tenure"] == 1 and uid in str(body["rungs"])]
+
+
+@pytest.mark.parametrize("what", ["an earlier attempt", "an earlier session", "before the launch"])
+@pytest.mark.parametrize("acted", [False, True], ids=["as the leader begins", "after it has acted"])
+async def test_old_reports_reach_every_controller_as_a_new_leader_begins(
+    monkeypatch: pytest.MonkeyPatch, what: str, acted: bool
+) -> None:
+    """The machine itself is not heard then, or was already: what runs there goes on, and starts nowhere else."""
+    async with cluster(monkeypatch) as whole:
+        warm = await whole.submit(uid="req-000001", shape="daemon", rungs=2, cores=3.0)  # two machines, room on both
+        await whole.busy(warm)
+        uid = await whole.submit(uid="req-000002", shape="daemon", rungs=1, cores=1.0)
+        worker, copies = await _old(whole, uid, what)
+        assert copies
+        await trio.sleep(6 * REPORT_S)
+        assert sum(whole.on().values()) == 3
+        starts = len(whole.starts(uid)), len(whole.starts(warm))
+        whole.crash(whole.foreman())
+        if acted:
+            await trio.sleep(4 * REPORT_S)
+        else:
+            whole.net.cut.add(worker.address)
+
+        async def send(node: int, body: dict[str, Any]) -> None:
+            with trio.move_on_after(4):
+                await whole.call(node, "POST", "/v1/report", body)
+
+        begin = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < begin + 4 * REPORT_S:
+                for node in list(whole.controllers):
+                    nursery.start_soon(send, node, copies[-1])
+                    nursery.start_soon(send, node, copies[0])
+                await trio.sleep(0.1)
+        whole.net.cut.discard(worker.address)
+        await trio.sleep(30)
+        assert whole.foreman() in whole.controllers
+        assert (len(whole.starts(uid)), len(whole.starts(warm))) == starts
+        assert sum(whole.on().values()) == 3
+
+
+@pytest.mark.parametrize("cause", ["done", "error", "stopped"])
+def test_an_old_report_of_an_earlier_attempt_ends_no_later_one_on_the_same_machine(cause: str) -> None:
+    """The first thing that a new leader hears; the claim that it found on record is that of a later attempt."""
+    earlier, later = 5 << 32, (6 << 32) + 3
+    page = {"req-000001": {"a": {"0": [later, "m"]}}, "hosts": {"m": ABOUT}}
+    stage = Stage({"lf/j/req-000001": (accepted(job(rungs=1)), 4), "lf/p/0": (page, 5)})
+    orders = stage.report(rungs=(rung(0, earlier, "exited", cause),), epoch=EPOCH_NOW - 1)
+    assert [claim.attempt for claim in stage.machine().claims.values()] == [later]
+    assert not stage.desk.complete and all(order["verb"] != "launch" for order in orders)
+    stage.report(rungs=(rung(0, later),))
+    assert [claim.phase for claim in stage.machine().claims.values()] == ["running"]
+
+
+@pytest.mark.parametrize("cancelled", [False, True], ids=["goes on", "cancelled"])
+@pytest.mark.parametrize("when", ["before the new epoch", "after it", "executed, answer held"])
+async def test_commands_of_an_earlier_leader_that_were_held_up(
+    monkeypatch: pytest.MonkeyPatch, when: str, cancelled: bool
+) -> None:
+    """A launch is on its way while its leader ends; the machine, which hung, then goes on with it."""
+    async with cluster(monkeypatch) as whole:
+        looks = Looks(whole)
+        warm = await whole.submit(uid="req-000001", shape="daemon", rungs=1, loaners=False)
+        worker = await whole.busy(warm)
+        uid = "req-000002"
+        whole.jobs[uid] = job(uid, shape="daemon", rungs=1, loaners=False)
+        worker.hold, worker.loses_answers = when != "executed, answer held", True
+        await looks.ask(0, "POST", uid)
+        await trio.sleep(0.3)
+        assert (uid in str(worker.held)) == worker.hold or whole.starts(uid)
+        whole.net.cut.add(worker.address)  # it hangs
+        whole.crash(whole.foreman())
+        left = next(iter(whole.controllers))
+        if cancelled:
+            await trio.sleep(1)
+            assert (await whole.call(left, "POST", f"/api/jobs/{uid}/cancel"))[1]["phase"] == "cancelled"
+        await trio.sleep(3 * REPORT_S)
+        held = list(worker.held)
+        if when == "before the new epoch":
+            assert all(worker.late(body) for body in held)
+        worker.hold = worker.loses_answers = False
+        whole.net.cut.discard(worker.address)
+        await trio.sleep(2 * REPORT_S)
+        if when == "after it":
+            assert not any(worker.late(body) for body in held)
+        await trio.sleep(30)
+        if cancelled:
+            assert not looks.on(uid), "ran_cancelled"
+            assert await whole.phase(left, uid) == "cancelled"
+        else:
+            assert len(looks.on(uid)) == 1 and len(whole.starts(uid)) == 1
+        assert whole.on()[f"{warm}/0"] == 1 and len(whole.starts(warm)) == 1, "the machine was not given up for it"
