--- a/ladderfield/jobs/door.py
+++ b/ladderfield/jobs/door.py
@@ -237,7 +237,8 @@
                 if self._state(uid) is None:
                     return Reply(404, {"error": "no such job"})
                 continue
-            guards = {FINAL + uid: 0}  # once accepted it is known for good
+            # Decided once: neither this nor a late copy of it undoes an end. Once accepted the job is known for good.
+            guards = {FINAL + uid: 0}
             if not await self.client.writes.take(patience=SUBMIT_S / 3):
                 return busy(1)
             try:
