--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -126,6 +126,11 @@
         self.holds: dict[int, tuple[float, float]] = {}  # hold -> (ttl, ends)
         self.down = False
         self.lose_answers = 0  # so many transactions are applied, but never answered
+        self.keeps: Callable[[list[str]], bool] = lambda keys: False  # transactions on such keys are kept back, with
+        self.kept: list[dict[str, Any]] = []  # no answer, until ``carry_out``: after newer ones
+        self.answer_s: Callable[[list[str]], float] = lambda keys: 0.0  # carried out at once, answered so much later
+        self.slow_s = 0.0  # every answer takes so long
+        self.page_most = 1000
         self.calls = 0
         self.watch_lag = 0.0
         self.moved = trio.Event()
@@ -166,7 +171,7 @@
         if path == "/watch":
             return await self._watch(params)
         self.calls += 1
-        await trio.sleep(0.002)
+        await trio.sleep(0.002 + self.slow_s)
         if self.down:
             return Reply(503, {"error": "trouble"})
         body = msgspec.json.decode(request.body) if request.body else {}
@@ -186,7 +191,7 @@
             found = sorted(
                 key for key in self.keys if key.startswith(params["starts"]) and key > params.get("after", "")
             )
-            most = int(params["limit"])
+            most = min(int(params["limit"]), self.page_most)
             pairs = [{"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]} for key in found[:most]]
             return Reply(200, {"pairs": pairs, "hasNext": len(found) > most, "ledger": self.ledger})
         key = path.removeprefix("/keys/")
@@ -195,6 +200,26 @@
         return Reply(200, {"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]})
 
     async def _multi(self, body: dict[str, Any]) -> Reply:
+        keys = [step["put"] if "put" in step else step["delete"] for step in body["apply"]]
+        if self.keeps(keys):
+            self.kept.append(body)
+            await trio.sleep_forever()
+        reply = self._apply(body)
+        if reply.status == 200:
+            if self.lose_answers:
+                self.lose_answers -= 1
+                await trio.sleep_forever()
+            await trio.sleep(self.answer_s(keys))
+        return reply
+
+    def carry_out(self) -> list[int]:
+        """Carry out what was kept back, in the order of its coming; the statuses, of which nobody else hears."""
+        kept, self.kept = self.kept, []
+        return [self._apply(body).status for body in kept]
+
+    def _apply(self, body: dict[str, Any]) -> Reply:
+        if any(step.get("hold") is not None and step["hold"] not in self.holds for step in body["apply"]):
+            return Reply(400, {"error": "no such lease"})
         failed = [guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]]
         if failed:
             return Reply(409, {"failed": failed, "ledger": self.ledger})
@@ -206,9 +231,6 @@
                 else:
                     self._change(step["delete"], None, None)
             self._announce()
-        if self.lose_answers:
-            self.lose_answers -= 1
-            await trio.sleep_forever()
         return Reply(200, {"ledger": self.ledger})
 
     async def _watch(self, params: dict[str, str]) -> Reply:
@@ -239,12 +261,14 @@
         self.endless: Callable[[str], bool] = lambda uid: False  # which jobs are services
         self.fail: set[str] = set()  # jobs whose tasks fail here
         self.tenure, self.tick, self.epoch = 1, 0, 0
+        self.answered = trio.current_time()  # when the last answered report was sent
         self.rungs: dict[str, dict[str, Any]] = {}
         self.ends: dict[str, float] = {}
         self.log: list[tuple[float, str, int]] = []
         self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
         self.hung_until = -math.inf  # it does nothing until then; what reached it meanwhile is carried out late
+        self.loses_answers = False  # carries /orders out, but its answers are lost
         self.deaf = False  # its reports go out, but no answer and no command comes in
         self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
         self.dead = False
@@ -259,6 +283,11 @@
         }  # fmt: skip
 
     def _progress(self) -> None:
+        if trio.current_time() < self.hung_until:
+            return
+        if trio.current_time() - self.answered > 12.0:
+            self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
+            self.answered = trio.current_time()
         for name, rung in self.rungs.items():
             if rung["phase"] == "running" and trio.current_time() >= self.ends[name]:
                 rung |= {"phase": "exited", "cause": "error" if name.split("/")[0] in self.fail else "done"}
@@ -306,7 +335,10 @@
             if self.hold:
                 self.held.append(body)
                 await trio.sleep_forever()
-            return Reply(200 if self.late(body) else 409, self.body())
+            status = 200 if self.late(body) else 409
+            if self.loses_answers:
+                await trio.sleep_forever()
+            return Reply(status, self.body())
         return Reply(200, self.body())
 
     def late(self, body: dict[str, Any]) -> bool:
@@ -315,13 +347,11 @@
 
     async def run(self) -> None:
         """Report for ever."""
-        answered, node = trio.current_time(), 0
+        node = 0
         while True:
             await trio.sleep(0.5)
             await trio.sleep_until(self.hung_until)
-            if trio.current_time() - answered > 12.0:
-                self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
-                answered = trio.current_time()
+            self._progress()
             if self.dead or self.address in self.net.cut:
                 continue
             host, _, port = self.controllers[node].partition(":")
@@ -337,7 +367,7 @@
                 status = 0
                 await trio.sleep_until(sent + 4.0)
             if status == 200 and tenure == self.tenure and self.obey(answer.get("epoch"), answer.get("orders", [])):
-                answered = sent
+                self.answered = sent
             elif status == 421 and answer.get("foreman"):
                 node = int(answer["foreman"][1:])
             else:
