Orders are for the session they were made for: a launch could begin with no claim behind it

Cause: the courier read the machine's session when it ran, not when its orders were made. A report of a new session that was handled in between ended the claim, and the launch went out to the new session: ran_twice. Found by reading, shown by test_orders_made_for_a_session_that_ends_meanwhile_are_for_that_session, which fails without the change. The record of machine types is guarded by its version too: a late copy brought older types back.

--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/foreman/actor.py
@@ -275,7 +275,9 @@
             if orders or silent or machine.epoch != self.term.epoch:
                 slow += silent
                 self._pushing[host] = silent
-                self.nursery.start_soon(self._courier, machine, orders)
+                # The session for which these orders were made: one that began since must refuse them, or a launch would
+                # stand there with no claim behind it (ran_twice).
+                self.nursery.start_soon(self._courier, machine, max(machine.tenure, 1), orders)
 
     # -- messages ----------------------------------------------------------------------------------------------
 
@@ -482,8 +484,8 @@
             await self.client.foreman_writes.ready(self._begin_with)
             await self.send.send(Ready())
 
-    async def _courier(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
-        host, tenure = machine.host, max(machine.tenure, 1)
+    async def _courier(self, machine: Machine, tenure: int, orders: list[dict[str, Any]]) -> None:
+        host = machine.host
         attempts = [order["try"] for order in orders if order["verb"] == "launch"]
         executed, report = False, None
         client = self._clients.pop(host, None)
@@ -523,7 +525,9 @@
                 kinds = types_record(await self.cloud.types(), most)
                 if parse_types(kinds) and kinds != self.view.get(TYPES):
                     await self.client.foreman_writes.take()
-                    await self.client.commit({EPOCH: self.term.stamp}, {TYPES: kinds}, [], self.report_s)
+                    # A copy of this that is carried out late must not bring older types back.
+                    guards = {EPOCH: self.term.stamp, TYPES: self.view.stamp(TYPES)}
+                    await self.client.commit(guards, {TYPES: kinds}, [], self.report_s)
                 await trio.sleep(TYPES_EVERY * self.report_s)
             except (CloudTrouble, Unavailable) as error:
                 log.info("machine types: %s", error)
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -172,6 +172,7 @@
         return self._holder() in (None, self.settings.member)
 
     async def _campaign(self) -> Term | None:
+        # A copy of this that is carried out late ends no newer term.
         guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
         epoch = self.known_epoch() + 1
         timeout = self.ttl / 2
