Nothing stranded: placement in the plan, machines a job failed on, stops before a lost launch

Three causes, each shown by a test that failed on the code as it was and fails again without the guard: - The plan counted room (and rented) in zones where a spread or oneZone job's other tasks leave none, so replicas waited for as long as that room stood empty. Guard: Places in fleet/plan.py. Without it: ['za', 'za'] on instead of three replicas in two zones, ['zb'] instead of three in zb. - A job never came back to a machine on which a task of it had failed, even if no other fits; the plan meanwhile took that machine's room as the job's. Guard: Desk.avoid, which ends after some time. Without it: no launch in 90 s. - A task stopped for room whose launch by /orders got no answer, or was refused, never ended: absence proves nothing while a copy may come, and a refused one was not asked about again.

--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from ladderfield.fleet.cloud import RENT_MOST
 from ladderfield.foreman.desk import Desk
 from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.queues.pick import half_up
 from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import SLACK, Machine
 
@@ -31,6 +32,7 @@
 
 HIRES = 2  # of the most machines a hire may ask for: of one offer in one plan
 NOTHING = [0.0, 0.0, 0.0]
+MANY = 2**63
 Offer = tuple[str, str, bool]  # type, zone, spot
 
 
@@ -106,6 +108,32 @@
         return placed
 
 
+class Places:
+    """Zones that the job's other tasks leave to its next ones: those that run, and those that a plan has placed.
+
+    Guards against machines that are rented, or kept, where none of the job's waiting tasks may go.
+    """
+
+    def __init__(self, spec: JobSpec, zones: Mapping[str, int] | None) -> None:
+        self.spec, self.bound = spec, zones is not None  # else the tasks are of several jobs
+        self.zones = {zone: count for zone, count in (zones or {}).items() if count}
+
+    def left(self, zone: str) -> int:
+        """How many more tasks may go there."""
+        if not self.bound:
+            return MANY
+        if self.spec.one_zone and self.zones.keys() - {zone}:
+            return 0
+        return half_up(self.spec.tasks) - self.zones.get(zone, 0) if self.spec.spread else self.spec.tasks
+
+    def place(self, room: Room, count: int, free_only: bool = False) -> int:
+        """Fill a room with up to so many tasks; how many it takes."""
+        placed = room.place(self.spec, max(0, min(count, self.left(room.zone))), free_only)
+        if placed:
+            self.zones[room.zone] = self.zones.get(room.zone, 0) + placed
+        return placed
+
+
 def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
     """How many tasks fit into so much room."""
     most = spec.tasks
@@ -212,22 +240,24 @@
         """Every waiting replica gets room, if need be in place of lower ranks; and so do those soon to come."""
         desk = self.desk
         for job in jobs:
-            self._give(job.spec, job.shape, min(job.waiting, desk.teams.room(job.spec)), plan, now, soon=True)
+            places = Places(job.spec, job.zones)
+            self._give(places, job.shape, min(job.waiting, desk.teams.room(job.spec)), plan, now, soon=True)
         for stream, job in desk.outlook.latest.items():
-            offer = self._best(job.spec, 1, (True, False), now)
+            places = Places(job.spec, None)
+            offer = self._best(places, 1, (True, False), now)
             if offer is not None:
                 kind = desk.types[offer[0]]
                 until = kind.boot_s + kind.fetch_s(job.spec.image_gb)
                 coming = until * desk.outlook.rate(stream, now) * job.spec.tasks
-                self._give(job.spec, job.shape, math.ceil(coming + SPARE * math.sqrt(coming)), plan, now)
+                self._give(places, job.shape, math.ceil(coming + SPARE * math.sqrt(coming)), plan, now)
 
-    def _give(self, spec: JobSpec, shape: Shape, need: int, plan: Plan, now: float, soon: bool = False) -> None:
-        for room in plan.for_service(spec, shape):
+    def _give(self, places: Places, shape: Shape, need: int, plan: Plan, now: float, soon: bool = False) -> None:
+        for room in plan.for_service(places.spec, shape):
             if need <= 0:
                 return
-            need -= room.place(spec, need)
-        while need > 0 and (offer := self._best(spec, need, (True, False), now, soon)) and plan.may_add(offer):
-            placed = plan.add(offer, self.desk.types[offer[0]]).place(spec, need)
+            need -= places.place(room, need)
+        while need > 0 and (offer := self._best(places, need, (True, False), now, soon)) and plan.may_add(offer):
+            placed = places.place(plan.add(offer, self.desk.types[offer[0]]), need)
             if not placed:
                 break
             need -= placed
@@ -239,12 +269,13 @@
             spec, run = job.spec, desk.outlook.run_s(job)
             tasks = min(job.waiting, desk.teams.room(spec))
             load += tasks * spec.cpus * run
+            places = Places(spec, job.zones)
             for room in plan.for_array(spec, job.shape):
                 if tasks <= 0:
                     break
-                tasks -= room.place(spec, tasks, free_only=True)
+                tasks -= places.place(room, tasks, free_only=True)
             for spot in (True, False) if spec.spot else (False,):
-                while tasks > 0 and (offer := self._best(spec, tasks, (spot,), now)):
+                while tasks > 0 and (offer := self._best(places, tasks, (spot,), now)):
                     if not plan.may_add(offer):
                         tasks = 0  # a later plan sees to the rest; nothing dearer is taken for it meanwhile
                         break
@@ -254,7 +285,7 @@
                         horizon = max(horizon, PATIENCE * desk.outlook.slack(job, now))
                     if load <= horizon * plan.cpus_for_arrays(spec, job.shape):
                         break
-                    placed = plan.add(offer, kind).place(spec, tasks, free_only=True)
+                    placed = places.place(plan.add(offer, kind), tasks, free_only=True)
                     if not placed:
                         break
                     tasks -= placed
@@ -265,16 +296,17 @@
         begun = (0.0 if claim.running_at is None else now - claim.running_at for claim in job.claims.values())
         return job.spec.cpus * sum(max(run - ran, run / 4) for ran in begun)
 
-    def _best(self, spec: JobSpec, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
+    def _best(self, places: Places, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
         """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
         price with the time to boot."""
+        spec = places.spec
         best: tuple[float, Offer] | None = None
         for kind in self.desk.types.values():
             if not fits(spec, kind):
                 continue
             full = slots(spec, kind.cpus, kind.gpus, kind.memory_gb)
             for zone in kind.zones:
-                if spec.zone not in (None, zone):
+                if spec.zone not in (None, zone) or places.left(zone) <= 0:
                     continue
                 for spot in kinds:
                     offer = (kind.name, zone, spot)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -47,6 +47,7 @@
 PAUSE_MOST = 10.0  # of report_s
 OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
 OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
+AVOID = 20.0  # of report_s: how long a job's tasks go elsewhere, if anywhere else is room, once one failed on a machine
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
 
@@ -366,6 +367,8 @@
             return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
 
         def may_go(job: Job) -> bool:
+            if job.failed_hosts.get(machine.host, now) > now:
+                return False
             return score == 1 or self.room.may_go_to(job, machine, now)
 
         made = 0
@@ -384,13 +387,17 @@
 
     # -- machines ----------------------------------------------------------------------------------------------
 
+    def avoid(self, job: Job, machine: Machine, now: float) -> None:
+        """Other machines are tried first. Not for ever: it may be the only one that fits."""
+        job.failed_hosts[machine.host] = now + AVOID * self.report_s
+
     def failed(self, claim: Claim, machine: Machine, now: float) -> None:
         """A task ended in error: retried elsewhere after a pause; who is to blame shows with the next failures."""
         job = claim.job
         job.errors += 1
-        job.failed_hosts.add(machine.host)
+        self.avoid(job, machine, now)
         if len(job.failed_hosts) >= len(self.usable(now)):
-            job.failed_hosts = {machine.host}
+            job.failed_hosts = {machine.host: job.failed_hosts[machine.host]}
         job.not_before = now + min(PAUSE_MOST, PAUSE * 2 ** min(job.errors - 1, 10)) * self.report_s
         # A job that failed on several machines without a success is itself the likely cause.
         if len(job.failed_hosts) <= BLAME or job.done:
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -115,7 +115,8 @@
         """Whether a claim that the machine doesn't list is surely dead. The machine has accepted our epoch, so no
         earlier foreman's order can run any more; what is left are our own orders."""
         if claim.sent_tenure is None:
-            return claim.inherited
+            # Not sent, or refused by the machine. Stopped meanwhile, it has nothing left to wait for.
+            return claim.inherited or (claim.stopping is not None and claim.attempt not in machine.doubts)
         if claim.sent_tenure != report.tenure:
             return True  # the session it was sent to is over, and orders of that session are refused
         if claim.attempt in machine.doubts or not answering or report.tick <= claim.sent_tick:
@@ -147,7 +148,7 @@
             machine.blamed.clear()
             machine.use_image(job.spec.image, job.spec.image_gb)
             job.errors = 0
-            job.failed_hosts.discard(machine.host)
+            job.failed_hosts.pop(machine.host, None)
         log.debug("task %s: attempt %d on %s: %s", task_name(claim.task), claim.attempt, machine.host, rung.cause)
         desk.end(claim, rung.cause == "done", now)
         if rung.cause == "error":
@@ -173,13 +174,19 @@
                         self.ignored(machine, 1, now)
                     claim.stop_at = now
                     result.append(self._stop(claim.task, claim.attempt, 0.0 if again else self._wind_down(claim)))
+                elif self._lost(machine, claim, attempt) and tick is not None and now - claim.sent_at > resend:
+                    # Guards the task against waiting for ever: its launch by /orders was lost, or may still come. An
+                    # answer can't be late: what is launched and stopped by it is listed, so that the claim ends, and
+                    # shields against the late copy.
+                    claim.sent_at = now
+                    result += [self._launch(claim), self._stop(claim.task, claim.attempt, 0.0)]
                 continue
             if on_it or not claim.recorded or claim.inherited:
                 continue
             if attempt is not None:
                 if attempt in machine.doubts and claim.sent_tenure is None:
                     # The old attempt has to stay listed, as it shields against its own late copies.
-                    claim.job.failed_hosts.add(machine.host)
+                    desk.avoid(claim.job, machine, now)
                     desk.end(claim, False, now)
                 continue
             if claim.sent_tenure is None or now - claim.sent_at > resend:
@@ -189,7 +196,7 @@
                     claim.sent_tick = machine.tick
                 else:
                     claim.sent_tick = tick
-                result.append({"verb": "launch", "rung": task_name(claim.task), "try": claim.attempt})
+                result.append(self._launch(claim))
         for task, (attempt, phase) in machine.seen.items():
             current = machine.claims.get(task)
             if current is not None and current.attempt == attempt:
@@ -201,6 +208,15 @@
                 result.append({"verb": "reap", "rung": task_name(task), "try": attempt})
         return result
 
+    @staticmethod
+    def _lost(machine: Machine, claim: Claim, listed: int | None) -> bool:
+        """Whether a stop can't show, as the launch before it does not. A cancelled task is never launched anew."""
+        return listed is None and claim.attempt in machine.doubts and claim.job.final is None
+
+    @staticmethod
+    def _launch(claim: Claim) -> dict[str, Any]:
+        return {"verb": "launch", "rung": task_name(claim.task), "try": claim.attempt}
+
     def _wind_down(self, claim: Claim) -> float:
         spec = claim.job.spec
         if not spec.checkpoint_s or claim.stopping == "cancelled":
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -185,7 +185,7 @@
                 for job in jobs:
                     if self.first_only and job.begun:
                         continue
-                    if job.queued and machine.host not in job.failed_hosts and may_go(job) and settled(job, machine):
+                    if job.queued and may_go(job) and settled(job, machine):
                         found.add(job)
         return found
 
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -145,7 +145,7 @@
         self.claims: dict[int, Claim] = {}
         self.zones: dict[str, int] = {}  # claims by zone, for placement
         self.errors = 0  # in a row, without a success between
-        self.failed_hosts: set[str] = set()
+        self.failed_hosts: dict[str, float] = {}  # since the last success; until when its tasks avoid each
         self.not_before = 0.0
         self.held: dict[str, float] = {}  # machines being cleared for its tasks, and until when
         self.finished_s: list[float] = []  # run times seen
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -231,6 +231,7 @@
         self.hold = False
         self.deaf = False  # its reports go out, but no answer and no command comes in
         self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
+        self.mute = False  # it opens no connection to any controller; direct commands reach it
         self.dead = False
 
     def body(self) -> dict[str, Any]:
@@ -297,7 +298,7 @@
             if trio.current_time() - answered > 12.0:
                 self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
                 answered = trio.current_time()
-            if self.dead or self.address in self.net.cut:
+            if self.dead or self.mute or self.address in self.net.cut:
                 continue
             host, _, port = self.controllers[node].partition(":")
             sent, tenure = trio.current_time(), self.tenure
--- a/ladderfield/testing_cluster.py
+++ b/ladderfield/testing_cluster.py
@@ -32,6 +32,7 @@
         self.net.http("10.2.0.2:84", self.cloud)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.limit = 16.0
+        self.run_s = 5.0  # how long a task runs on machines that come up from now on
         nursery.start_soon(self.state.run)
         nursery.start_soon(self._watch_rules)
 
@@ -39,6 +40,7 @@
         at = f"10.9.0.{len(self.cloud.workers)}"
         nodes = [f"10.0.0.{n + 1}:80" for n in range(3)]
         worker = Worker(host, at, self.net, nodes, yard=hire["yard"], loaners=hire["loaners"])
+        worker.run_s = self.run_s
         worker.endless = lambda uid: self.jobs[uid]["shape"] == "daemon"
         self.net.http(f"{at}:90", worker)
         self.nursery.start_soon(worker.run)
