--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -228,6 +228,7 @@
             if not (machine.deleting or machine.sick or machine.deaf_since is not None)
             and machine.recall_at is None
             and machine.kind.cpus
+            and not (machine.mute and not desk.vigil.mostly_mute)
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.since))
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -51,6 +51,10 @@
         answered = machine.answered
         if answering:
             machine.answered_at = now
+            if report.epoch == desk.epoch and (answered is None or order > answered):  # not a late copy
+                machine.reported_at = now
+                if machine.mute:
+                    machine.mute, desk.changed = False, True
             machine.answered = max(order, answered or order)
         if order <= (machine.tenure, machine.tick) and before is not None:
             return machine  # overtaken on its way: what it lists is no longer so
--- a/ladderfield/foreman/test_stranded.py
+++ b/ladderfield/foreman/test_stranded.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
+from ladderfield.fleet.plan import Planner
+from ladderfield.foreman.desk import Desk
 from ladderfield.foreman.test_desk import Stage, launched, rung
 from ladderfield.testing_cluster import cluster
 
@@ -77,3 +81,141 @@
         workers = whole.cloud.workers.values()
         zones = sorted(str(one.about["yard"]) for one in workers for name in one.on() if name.startswith(uid))
         assert zones in ([["za", "za", "zb"], ["za", "zb", "zb"]] if placement == "spread" else [["zb"] * 3])
+
+
+@pytest.mark.parametrize("how", ["deleted", "silent", "sick", "recalled", "deaf"])
+def test_what_was_dealt_to_a_machine_that_is_lost_starts_on_another(how: str) -> None:
+    stage = Stage()
+    stage.report()
+    stage.submit(rungs=8, owner="blue")
+    stage.desk.schedule(1.0)
+    assert stage.machine().queue and len(stage.machine().claims) == 2
+    lost = stage.machine()
+    if how == "deleted":
+        stage.desk.forget("m", 2.0)
+    elif how == "deaf":
+        stage.desk.sessions.ignored(lost, 2, 2.0)
+    elif how == "recalled":
+        stage.report(now=2.0, recallS=30.0)
+    elif how == "sick":
+        lost.sick = True
+    for now in (8.0, 8.5):
+        stage.desk.sweep(now)
+        for host in "abc":
+            stage.report(host, now=now)
+    elsewhere = {index for one in "abc" for (_, index) in stage.machine(one).claims}
+    assert len(elsewhere) == 6 and elsewhere >= {2, 3, 4, 5, 6, 7} - {index for (_, index) in lost.claims}
+
+
+def test_room_cleared_for_a_replica_that_is_cancelled_goes_to_others() -> None:
+    stage = Stage()
+    attempt = launched(stage, 2)
+    both = (rung(0, attempt), rung(1, attempt + 1))
+    stage.report(rungs=both, now=2.0)
+    stage.submit("req-000002", rank="production", shape="daemon", cores=4.0, rungs=1)
+    stage.desk.schedule(2.0)
+    assert stage.machine().hold_until > 2.0
+    stage.tell("req-000002", "cancelled")
+    gone = (rung(0, attempt, "exited", "stopped"), rung(1, attempt + 1, "exited", "stopped"))
+    stage.report(rungs=gone, now=3.0)
+    assert begins(stage, "req-000001")
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_long_tasks_get_done_beside_workers_that_can_not_report(
+    monkeypatch: pytest.MonkeyPatch, takeover: bool
+) -> None:
+    """Direct commands reach them, so that they look well; but their lease runs out, and with it all that runs there."""
+    async with cluster(monkeypatch) as whole:
+        whole.run_s = 25.0
+        steady = await whole.submit(shape="daemon", rungs=8, cores=4.0, owner="blue")
+        await whole.busy(steady)
+        mute = list(whole.cloud.workers.values())[:3]
+        for worker in mute:
+            worker.mute = True
+        if takeover:
+            whole.crash(whole.foreman())
+        await trio.sleep(20)
+        node = whole.foreman()
+        uid = await whole.submit(node, uid="req-000002", rungs=2, cores=4.0, owner="blue", expectS=25.0)
+        await whole.until(node, uid, "done", WAIT)
+        on = {name for worker in whole.cloud.workers.values() if worker not in mute for name in worker.on()}
+        assert len([name for name in on if name.startswith(steady)]) == 8, "replicas moved to machines that report"
+
+
+async def test_a_zone_that_was_cut_for_longer_than_a_lease_works_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        bound = await whole.submit(rungs=6, cores=4.0, owner="blue", yard="za")
+        anywhere = await whole.submit(uid="req-000002", rungs=6, cores=4.0, owner="blue", rank="urgent")
+        await whole.busy(bound)
+        away = [one.address for one in whole.cloud.workers.values()]
+        whole.net.cut.update(away)
+        whole.cloud.down = True
+        await trio.sleep(20)
+        whole.net.cut.difference_update(away)
+        whole.cloud.down = False
+        for uid in (bound, anywhere):
+            await whole.until(1, uid, "done", WAIT)
+
+
+async def test_small_jobs_that_come_fast_leave_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Four a second, a quarter cancelled: what is to be written keeps up, and all of it is cleared once they end."""
+    desks: list[Desk] = []
+    load = Desk.load
+
+    def noted(desk: Desk, data: dict[str, Any], now: float) -> None:
+        desks.append(desk)
+        load(desk, data, now)
+
+    monkeypatch.setattr(Desk, "load", noted)
+    async with cluster(monkeypatch) as whole:
+        whole.cloud.capacity, seconds, most = 60, 90, 0
+
+        async def one(number: int) -> None:
+            uid = await whole.submit(number % 3, uid=f"req-{number:06}", rungs=1, cores=1.0, owner="blue")
+            if number % 4 == 0:
+                await trio.sleep(number % 20 / 2)
+                await whole.call((number + 1) % 3, "POST", f"/api/jobs/{uid}/cancel")
+
+        async with trio.open_nursery() as users:
+            for number in range(4 * seconds):
+                users.start_soon(one, number)
+                await trio.sleep(0.25)
+                (desk,) = desks
+                most = max(most, len(desk.jobs) + len(desk.spent) + len(desk.pages.pages))
+        assert most < 20 * 4, "twenty seconds' worth, of which a task takes five"
+        await trio.sleep(20)
+        assert not [key for key in whole.state.keys if key.startswith("lf/j/")]
+        assert not (desk.jobs or desk.cancelled_at or desk.spent or desk.complete or desk.unsettled or desk.unrecorded)
+        assert all(page.size < 100 for page in desk.pages.pages)
+        assert not any(machine.claims or machine.queue or machine.doubts for machine in desk.machines.values())
+
+
+def test_pages_keep_nothing_of_a_job_that_is_cancelled_half_done() -> None:
+    stage = Stage()
+    attempt = launched(stage, 2)
+    empty = stage.desk.pages.pages[0].size
+    stage.report(rungs=(rung(0, attempt, "exited", "done"), rung(1, attempt + 1)), now=2.0)
+    stage.record()
+    stage.tell(phase="cancelled")
+    stage.report(rungs=(rung(1, attempt + 1, "exited", "stopped"),), now=3.0)
+    stage.record()
+    assert stage.desk.pages.pages[0].size < empty and not stage.desk.pages.pages[0].value()
+    assert not (stage.desk.jobs or stage.desk.cancelled_at or stage.desk.spent)
+
+
+def test_the_room_of_machines_that_can_not_report_is_rented_anew_unless_most_are_so() -> None:
+    for reporting, rented in (("ab", 1), ("", 0)):
+        stage = Stage()
+        stage.submit(owner="blue", rungs=3, cores=4.0, expectS=500.0)
+        for host in ("m", *reporting):
+            stage.report(host)
+        (claim,) = stage.machine().claims.values()
+        stage.desk.end(claim, False, 2.0)
+        for host in reporting:
+            stage.report(host, now=10.0)
+        stage.machine().fresh_at = 10.0  # it answers what we send
+        stage.desk.sweep(10.0)
+        assert stage.machine().mute
+        waiting = stage.desk.jobs["req-000001"].waiting
+        assert sum(one.count for one in Planner(stage.desk).rentals(10.0)) == waiting - 1 + rented
--- a/ladderfield/foreman/vigil.py
+++ b/ladderfield/foreman/vigil.py
@@ -35,6 +35,7 @@
             peer.location: before[peer.member] - wall_offset for peer in desk.settings.peers if peer.member in before
         }
         self._mostly_silent = False
+        self.mostly_mute = False  # then the fault is likely ours, and other machines would be no better off
         self._cut: set[str] = set()
         # The longest way round a foreman that a worker can't reach: it waits for an answer and tries the next.
         self._way = LATEST * desk.report_s + ANSWER_S + 2 * NEXT_S
@@ -50,14 +51,20 @@
         """See which zones are cut off: at least half of the machines, and more than one, are silent, or have lately
         begun to come by way of another controller. Then those that are silent are likely on such a way, or would be if
         there were one."""
-        desk, known = self.desk, dict[str, list[int]]()
+        desk, known, mute = self.desk, dict[str, list[int]](), 0
         for machine in desk.machines.values():
+            # Guards work against machines that can't reach any controller while our commands reach them: their lease
+            # runs out, and with it ends all that would be begun there.
+            came_at = machine.up_at if machine.reported_at is None else machine.reported_at
+            machine.mute = came_at is not None and now - came_at > self._way
+            mute += machine.mute
             if machine.heard_at is not None or machine.claims:
                 count = known.setdefault(machine.zone, [0, 0])
                 count[0] += 1
                 silent = machine.silent_for(now, desk.term_from) > SILENT * desk.report_s
                 detour = machine.relayed and now - machine.detour_at < DETOURS * desk.lease_s
                 count[1] += silent or detour or machine.deaf_since is not None
+        self.mostly_mute = 2 * mute > len(desk.machines)
         self._mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(one for one, _ in known.values())
         self._cut = {zone for zone, (every, silent) in known.items() if silent > 1 and silent * 2 >= every}
 
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -42,11 +42,13 @@
         "kind",
         "listed",
         "memory_gb",
+        "mute",
         "queue",
         "recall_at",
         "relayed",
         "replicas",
         "replicas_low",
+        "reported_at",
         "seen",
         "sick",
         "soft",
@@ -64,6 +66,8 @@
         self.heard_at: float | None = None  # last report taken in, in this term
         self.up_at: float | None = None  # first report taken in, in this term
         self.fresh_at: float | None = None  # last report that shows our epoch: no copy from before this term can
+        self.reported_at: float | None = None  # last time that it came by itself, with our epoch
+        self.mute = False  # it answers what we send, but has not come by itself for too long
         self.answered_at: float | None = None  # last report answered, in this term
         self.answered: tuple[int, int] | None = None  # tenure and tick of the newest of these
         self.unheeded = 0  # signs in a row that what we tell it does not arrive
@@ -165,7 +169,7 @@
             and now - self.fresh_at <= silence_s
             and self.recall_at is None
             and self.deaf_since is None
-            and not (self.deleting or self.sick)
+            and not (self.deleting or self.sick or self.mute)
         )
 
     def silent_for(self, now: float, term_from: float) -> float:
