--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/foreman/desk.py
@@ -138,7 +138,7 @@
                     self.pages.spoil(page if other.attempt >= attempt else other.page or page)
 
     def _inherit(self, claim: Claim, now: float) -> None:
-        """A claim that an earlier foreman left on record binds."""
+        """A claim that an earlier foreman left on record binds: guards against a second start after any change."""
         assert claim.page is not None
         claim.page.add_claim(claim)
         claim.job.bind(claim)
@@ -149,6 +149,7 @@
             machine = self.machines[claim.host] = Machine(claim.host, endpoint, known, zone, spot, now)
             self.push(machine)  # it has to hear of our epoch
         machine.take(claim)
+        # Guards limit and placement across a change of leader: cancelled or not, it may still run there.
         self.teams.add(claim.job.spec)
         if claim.job.final is not None:
             self.stop(claim, "cancelled", now)
