--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -185,6 +185,7 @@
                     claim.sent_at = now
                     result += [self._launch(claim), self._stop(claim.task, claim.attempt, 0.0)]
                 continue
+            # Guards against a start that the next leader could not know of: its write may be late, and we may end.
             if on_it or not claim.recorded or claim.inherited:
                 continue
             if attempt is not None:
--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -111,6 +111,11 @@
         self.holds: dict[int, tuple[float, float]] = {}  # hold -> (ttl, ends)
         self.down = False
         self.lose_answers = 0  # so many transactions are applied, but never answered
+        self.late_every, self.late_s = (
+            0,
+            5.0,
+        )  # of so many transactions one is not answered, and is applied so much later
+        self.transactions = 0
         self.calls = 0
         self.watch_lag = 0.0
         self.moved = trio.Event()
@@ -180,7 +185,13 @@
         return Reply(200, {"key": key, "value": self.keys[key][0], "stamp": self.keys[key][1]})
 
     async def _multi(self, body: dict[str, Any]) -> Reply:
+        self.transactions += 1
+        late = bool(self.late_every) and self.transactions % self.late_every == 0
+        if late:
+            await trio.sleep(self.late_s)
         failed = [guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]]
+        if late and failed:
+            await trio.sleep_forever()
         if failed:
             return Reply(409, {"failed": failed, "ledger": self.ledger})
         if body["apply"]:
@@ -191,8 +202,8 @@
                 else:
                     self._change(step["delete"], None, None)
             self._announce()
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if self.lose_answers or late:
+            self.lose_answers -= not late
             await trio.sleep_forever()
         return Reply(200, {"ledger": self.ledger})
 
