--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/foreman/sessions.py
@@ -119,8 +119,11 @@
         """Whether a claim that the machine doesn't list is surely dead. The machine has accepted our epoch, so no
         earlier foreman's order can run any more; what is left are our own orders."""
         if claim.sent_tenure is None:
-            # Not sent, or refused by the machine. Stopped meanwhile, it has nothing left to wait for.
-            return claim.inherited or (claim.stopping is not None and claim.attempt not in machine.doubts)
+            if claim.inherited:
+                return True
+            # Refused by the machine. Stopped meanwhile, it has nothing left to wait for; but what answers our own call
+            # may be older than what the machine was told in answer to a report.
+            return claim.stopping is not None and answering and claim.attempt not in machine.doubts
         if claim.sent_tenure != report.tenure:
             return True  # the session it was sent to is over, and orders of that session are refused
         if claim.attempt in machine.doubts or not answering or report.tick <= claim.sent_tick:
