--- a/ladderfield/testing.py
+++ b/ladderfield/testing.py
@@ -131,6 +131,9 @@
         self.answer_s: Callable[[list[str]], float] = lambda keys: 0.0  # carried out at once, answered so much later
         self.slow_s = 0.0  # every answer takes so long
         self.page_most = 1000
+        self.late_every = 0  # of so many transactions one is not answered, and is carried out
+        self.late_s = 5.0  # so much later
+        self.transactions = 0
         self.calls = 0
         self.watch_lag = 0.0
         self.moved = trio.Event()
@@ -201,10 +204,16 @@
 
     async def _multi(self, body: dict[str, Any]) -> Reply:
         keys = [step["put"] if "put" in step else step["delete"] for step in body["apply"]]
+        self.transactions += 1
+        late = bool(self.late_every) and self.transactions % self.late_every == 0
         if self.keeps(keys):
             self.kept.append(body)
             await trio.sleep_forever()
+        if late:
+            await trio.sleep(self.late_s)
         reply = self._apply(body)
+        if late:
+            await trio.sleep_forever()
         if reply.status == 200:
             if self.lose_answers:
                 self.lose_answers -= 1
@@ -271,6 +280,7 @@
         self.loses_answers = False  # carries /orders out, but its answers are lost
         self.deaf = False  # its reports go out, but no answer and no command comes in
         self.sent: list[dict[str, Any]] = []  # its reports, so that copies may come late
+        self.mute = False  # it opens no connection to any controller; direct commands reach it
         self.dead = False
 
     def body(self) -> dict[str, Any]:
@@ -352,7 +362,7 @@
             await trio.sleep(0.5)
             await trio.sleep_until(self.hung_until)
             self._progress()
-            if self.dead or self.address in self.net.cut:
+            if self.dead or self.mute or self.address in self.net.cut:
                 continue
             host, _, port = self.controllers[node].partition(":")
             sent, tenure = trio.current_time(), self.tenure
