--- a/ladderfield/budget.py
+++ b/ladderfield/budget.py
@@ -8,8 +8,8 @@
 class Budget:
     """A token bucket of one second's worth; callers wait their turn, but not longer than they say.
 
-    Safety traffic (the foreman's lease, epochs, deletions) passes ``urgent``: it is counted, but never waits, so
-    that a burst of submissions can't cost the foreman its lease.
+    Safety traffic (the leader's lease, epochs, deletions) passes ``urgent``: it is counted, but never waits, so
+    that a burst of submissions can't cost the leader its lease.
     """
 
     def __init__(self, rate: float) -> None:
--- a/ladderfield/fleet/cloud.py
+++ b/ladderfield/fleet/cloud.py
@@ -40,7 +40,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._client = Client(*address(settings.outside.cloud))
-        # Nearly all of the limit is the foreman's; the front doors only fetch the types while none are on record.
+        # Nearly all of the limit is the leader's; the front doors only fetch the types while none are on record.
         self.budget = Budget(settings.cluster.cloud.rps * 0.8)
         self.idle_budget = Budget(settings.cluster.cloud.rps * 0.2 / settings.cluster.size)
 
@@ -49,7 +49,7 @@
     ) -> tuple[int, dict[str, Any]]:
         await self.budget.take(urgent=urgent)
         if may is not None and not may():
-            # Asked after the wait: a foreman that stood still meanwhile may have a successor, who decides anew.
+            # Asked after the wait: a leader that stood still meanwhile may have a successor, who decides anew.
             raise CloudTrouble("no longer ours to decide")
         try:
             status, data = await self._client.call(method, target, body, CALL_S)
--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -1,4 +1,4 @@
-"""What to rent and what to return; a pure decision over the foreman's tables.
+"""What to rent and what to return; a pure decision over the leader's tables.
 
 Services get room of their own, and some is kept for those that will come while a machine boots. Array work is
 seen as a stream: machines are rented until what waits and runs flows off within a horizon, a short one for spot
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from ladderfield.fleet.cloud import RENT_MOST
-from ladderfield.foreman.desk import Desk
 from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.leader.desk import Desk
 from ladderfield.queues.pick import half_up
 from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import SLACK, Machine
@@ -228,7 +228,7 @@
             if not (machine.deleting or machine.sick or machine.deaf_since is not None)
             and machine.recall_at is None
             and machine.kind.cpus
-            and not (machine.mute and not desk.vigil.mostly_mute)
+            and not (machine.mute and not desk.detector.mostly_mute)
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.since))
--- a/ladderfield/fleet/test_cloud.py
+++ b/ladderfield/fleet/test_cloud.py
@@ -12,7 +12,7 @@
 
 
 async def test_the_right_to_hire_and_delete_is_asked_after_the_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A foreman that stood still while it waited for its turn must not delete what its successor has put to work."""
+    """A leader that stood still while it waited for its turn must not delete what its successor has put to work."""
     cloud, calls = Cloud(settings()), list[str]()
 
     async def call(method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -4,7 +4,7 @@
 
 from ladderfield.fleet.cloud import RENT_MOST
 from ladderfield.fleet.plan import HIRES, Planner
-from ladderfield.foreman.test_desk import Stage, launched, rung
+from ladderfield.leader.test_desk import Stage, launched, rung
 
 
 def count(planner: Planner, now: float, spot: bool | None = None) -> int:
--- a/ladderfield/foreman/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The foreman: the one controller that holds queues, claims, quota and machines for the time of an epoch."""
--- a/ladderfield/http.py
+++ b/ladderfield/http.py
@@ -126,7 +126,7 @@
     """Serves keep-alive connections, so many at once; more are told 503 and closed at once.
 
     Parsed by httptools, not by h11 as the client's side is: with a thousand machines that report every two seconds h11
-    alone took more than half of the foreman's share of a core (docs/design.md, "Libraries").
+    alone took more than half of the leader's share of a core (docs/design.md, "Libraries").
     """
 
     def __init__(self, handler: Handler, most: int, request_s: float, idle_s: float) -> None:
--- a/ladderfield/jobs/cancellations.py
+++ b/ladderfield/jobs/cancellations.py
@@ -1,6 +1,6 @@
-"""The cancellations that this controller confirmed or has seen on record, so that it can tell a foreman of them.
+"""The cancellations that this controller confirmed or has seen on record, so that it can tell a leader of them.
 
-A foreman that the state service does not serve can't see what other controllers confirm. Each keeps the revisions of
+A leader that the state service does not serve can't see what other controllers confirm. Each keeps the revisions of
 what it knows here, from the moment of the confirmation on, before its own view shows it.
 """
 
--- a/ladderfield/jobs/chains.py
+++ b/ladderfield/jobs/chains.py
@@ -1,6 +1,6 @@
 """Jobs that wait for others: which are ready, which are cancelled with another, what rank and due time each inherits.
 
-All of it is derived from what is on record, so every controller comes to the same answer with no foreman:
+All of it is derived from what is on record, so every controller comes to the same answer with no leader:
 
 - a job is ready once the final record of every job that it needs says done. That record is decided once and for good,
   so a job behind a cancelled one can never have had a task;
--- a/ladderfield/jobs/test_close_looks.py
+++ b/ladderfield/jobs/test_close_looks.py
@@ -24,7 +24,7 @@
     elif trouble == "the state service is slow":
         whole.state.slow_s = 0.3
     elif trouble == "answers are lost":
-        # Of what doors and the foreman write about jobs every second transaction is carried out and never answered.
+        # Of what doors and the leader write about jobs every second transaction is carried out and never answered.
         counts = iter(range(10**6))
         whole.state.answer_s = lambda keys: math.inf if next(counts) % 2 and keys[0][:5] in ("lf/j/", "lf/f/") else 0.0
     elif trouble == "answers are late":
@@ -54,7 +54,7 @@
             nursery.start_soon(looks.crowd, at_once, 3.0)
             if trouble == "a restart":
                 await trio.sleep(0.5)
-                whole.crash(whole.foreman())
+                whole.crash(whole.leader())
                 await trio.sleep(0.2)
                 for node in {0, 1, 2} - set(whole.controllers):
                     whole.start(node)
@@ -92,9 +92,7 @@
 
         async with trio.open_nursery() as nursery:
             for number, uid in enumerate(uids):
-                nursery.start_soon(
-                    cancel_at_end, uid, number * REPORT_S / 8
-                )  # until the foreman writes that it is over
+                nursery.start_soon(cancel_at_end, uid, number * REPORT_S / 8)  # until the leader writes that it is over
         _trouble(whole, "none")
         await trio.sleep(10)
         for uid in uids:
@@ -108,15 +106,15 @@
             assert again is not None and again.phase == phase, "a cancellation that comes too late is told so"
 
 
-async def test_a_cancellation_of_which_the_foreman_has_not_heard_stands(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The last task ends just after the cancellation was confirmed; the foreman would call the job done."""
+async def test_a_cancellation_of_which_the_leader_has_not_heard_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The last task ends just after the cancellation was confirmed; the leader would call the job done."""
     async with cluster(monkeypatch) as whole:
         looks, uid = Looks(whole), await whole.submit(rungs=1)
         worker = await whole.busy(uid)
         await trio.sleep(2 * REPORT_S)
-        foreman = whole.foreman()
-        await _lag(whole, foreman, 2 * REPORT_S)
-        await looks.ask((foreman + 1) % 3, "cancel", uid)
+        leader = whole.leader()
+        await _lag(whole, leader, 2 * REPORT_S)
+        await looks.ask((leader + 1) % 3, "cancel", uid)
         worker.ends[f"{uid}/0"] = 0.0
         await looks.crowd(uid, 4 * REPORT_S, every_s=0.3)
         told = looks.told(uid, "cancelled")
@@ -182,7 +180,7 @@
         whole.jobs[beside] = job(beside)
         await _lag(whole, 0, 1.5)
         await _put(whole, {f"lf/j/{beside}": accepted(whole.jobs[beside], whole.jobs[later])})
-        whole.state.keeps = lambda keys: f"lf/f/{later}" in keys  # the foreman's; nobody waits for it
+        whole.state.keeps = lambda keys: f"lf/f/{later}" in keys  # the leader's; nobody waits for it
         await looks.ask(1, "cancel", first)
         told = await looks.ask(1, "GET", later)
         assert told is not None and told.phase == "cancelled"
--- a/ladderfield/jobs/test_needs.py
+++ b/ladderfield/jobs/test_needs.py
@@ -56,7 +56,7 @@
 async def test_waiting_jobs_are_taken_only_once_every_controller_is_known_to_understand_them(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A foreman of the older version would start their tasks too early."""
+    """A leader of the older version would start their tasks too early."""
     async with trio.open_nursery() as nursery:
         door, service = await _door(monkeypatch, nursery)
         assert (await submit(door, A))[0] == 201
@@ -119,7 +119,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_every_door_tells_at_once_what_is_cancelled_with_a_job_though_there_is_no_foreman(
+async def test_every_door_tells_at_once_what_is_cancelled_with_a_job_though_there_is_no_leader(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async with trio.open_nursery() as nursery:
--- a/ladderfield/foreman/actor.py
+++ b/ladderfield/leader/actor.py
@@ -1,4 +1,4 @@
-"""The foreman as an actor: one inbox, one loop that alone touches the tables, helpers that do the I/O.
+"""The leader as an actor: one inbox, one loop that alone touches the tables, helpers that do the I/O.
 
 Helpers (writer, couriers, the cloud's errands) get copies of what they need and answer by message. The inbox is
 bounded: who can't get in (a report) is told so at once, and who must get in (the view) is held back.
@@ -16,11 +16,11 @@
 
 from ladderfield.fleet.cloud import DELETE_MOST, RENT_MOST, Cloud, CloudTrouble, Listed, NoCapacity
 from ladderfield.fleet.plan import Offer, Planner, Rental
-from ladderfield.foreman.desk import OVERDUE, Desk
-from ladderfield.foreman.ledger import Ledger, Txn
 from ladderfield.http import Client, NoAnswer
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
+from ladderfield.leader.desk import OVERDUE, Desk
+from ladderfield.leader.ledger import Ledger, Txn
 from ladderfield.leadership import EPOCH, Term, grace_of
 from ladderfield.settings import Settings, address
 from ladderfield.state import Change, Outcome, Refused, StateClient, Unavailable, View
@@ -34,7 +34,7 @@
 COURIERS_SHARE = 1 / 24  # of the sockets: the same
 KEPT_SHARE = 1 / 8  # of the sockets: connections to workers that are kept for the next push
 SLOW_SHARE = 0.5  # of them: for machines that may not answer
-ELECTION = 0.05  # of a foreman's lease: no two elections are closer together
+ELECTION = 0.05  # of a leader's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
 WRITES_LEAST = 0.25  # of a transaction's limit: what it may hold at least before the next one is begun, and not less
 WRITES_TWO = 2  # than the end of a job and a page of claims
@@ -125,14 +125,14 @@
 
 
 class Sole:
-    """Every other controller has said, since our term began, that it is not foreman."""
+    """Every other controller has said, since our term began, that it is not leader."""
 
 
 class Tick:
     """Time passes."""
 
 
-class Foreman:
+class Leader:
     """One term in office."""
 
     def __init__(
@@ -141,7 +141,7 @@
         self.settings, self.term, self.client, self.view, self.cloud = settings, term, client, view, cloud
         workers = settings.cluster.workers
         self.report_s = workers.report_s
-        # An earlier foreman may go on answering for so long, of whatever version it is.
+        # An earlier leader may go on answering for so long, of whatever version it is.
         members = [settings.member, *(peer.member for peer in settings.peers)]
         grace = max(grace_of(settings, view, member) for member in members)
         self._most = max(256, int(settings.cluster.quota.max_connections * INBOX))
@@ -222,9 +222,9 @@
                     handlers[type(message)](message, trio.current_time())
                 self._advance(trio.current_time())
             except Exception:
-                # The tables can't be trusted now. What is on record can: whoever is foreman next rebuilds from it,
+                # The tables can't be trusted now. What is on record can: whoever is leader next rebuilds from it,
                 # and users are served meanwhile.
-                log.exception("epoch %d: an error in the foreman's tables", self.term.epoch)
+                log.exception("epoch %d: an error in the leader's tables", self.term.epoch)
                 self.term.end("of an error")
 
     def _next(self) -> Any:
@@ -245,7 +245,7 @@
             self._pass_at = now + took * (1 / PASS_SHARE - 1)
         if not self._writing:
             batch = now - self._recorded_at >= BATCH * self.report_s
-            txn = self.ledger.collect(batch, self.client.foreman_writes.level())
+            txn = self.ledger.collect(batch, self.client.leader_writes.level())
             if txn is not None:
                 if batch:
                     self._recorded_at = now
@@ -287,7 +287,7 @@
             message.done.set()
             return
         patience = max(self.term.grace, self.term.ttl)
-        if not self.term.may_answer(now) or self.desk.vigil.lets_go(report.host, now, patience):
+        if not self.term.may_answer(now) or self.desk.detector.lets_go(report.host, now, patience):
             message.done.set()
             return
         machine = self.desk.sessions.report(report, now, answering=True)
@@ -299,10 +299,10 @@
         message.done.set()
 
     def _outranked(self, report: Report, now: float) -> bool:
-        """Whether the machine has seen a later foreman's epoch, so that nothing we say counts there; then we yield.
+        """Whether the machine has seen a later leader's epoch, so that nothing we say counts there; then we yield.
 
         While our lease is surely ours nobody can have been elected after us, and no more often than a lease can have
-        changed hands since: an epoch beyond that no foreman gave. It harms that machine only, which has to go.
+        changed hands since: an epoch beyond that no leader gave. It harms that machine only, which has to go.
         """
         if report.epoch <= self.term.epoch:
             return False
@@ -395,7 +395,7 @@
         self.term.knows(message.known_at)
 
     def _on_sole(self, message: Sole, now: float) -> None:
-        self.desk.vigil.sole(now)
+        self.desk.detector.sole(now)
 
     def _on_tick(self, message: Tick, now: float) -> None:
         doomed = self.desk.sweep(now)
@@ -409,7 +409,7 @@
             try:
                 doomed += self._plan(now)
             except Exception:
-                # A plan only reads the tables. Running without one for a while beats ending a foreman over it.
+                # A plan only reads the tables. Running without one for a while beats ending a leader over it.
                 log.exception("epoch %d: no plan", self.term.epoch)
         due = [host for host in doomed if host not in self._deleting][:DELETE_MOST]
         if due and self.term.may_start(now):
@@ -441,7 +441,7 @@
         """Ask for machines, in as many hires as the cloud's bound on one makes it."""
         for first in range(0, rental.count, RENT_MOST):
             self._hires += 1
-            # No other foreman has this epoch, so no other hire can ever have this name; the epoch's record came first.
+            # No other leader has this epoch, so no other hire can ever have this name; the epoch's record came first.
             name = f"lf-{self.term.epoch}-{self._hires}"
             self._renting[name] = rental.offer
             count = min(RENT_MOST, rental.count - first)
@@ -464,8 +464,8 @@
             stamps: dict[str, int] = {}
             outcome: Outcome | None = None
             while True:
-                await self.client.foreman_calls.take()
-                await self.client.foreman_writes.take(txn.ops)
+                await self.client.leader_calls.take()
+                await self.client.leader_writes.take(txn.ops)
                 try:
                     outcome = await self.client.commit(txn.guards, txn.puts, txn.deletes, self.report_s)
                     for key in outcome.failed or []:
@@ -481,7 +481,7 @@
                     await trio.sleep(pause)
             await self.send.send(Committed(txn, outcome, stamps))
             # The next one is put together only when it can go out, so that it holds all that has gathered.
-            await self.client.foreman_writes.ready(self._begin_with)
+            await self.client.leader_writes.ready(self._begin_with)
             await self.send.send(Ready())
 
     async def _courier(self, machine: Machine, tenure: int, orders: list[dict[str, Any]]) -> None:
@@ -524,7 +524,7 @@
                 most = self.settings.cluster.state.value_kb * 1024 * FULL
                 kinds = types_record(await self.cloud.types(), most)
                 if parse_types(kinds) and kinds != self.view.get(TYPES):
-                    await self.client.foreman_writes.take()
+                    await self.client.leader_writes.take()
                     # A copy of this that is carried out late must not bring older types back.
                     guards = {EPOCH: self.term.stamp, TYPES: self.view.stamp(TYPES)}
                     await self.client.commit(guards, {TYPES: kinds}, [], self.report_s)
--- a/ladderfield/foreman/desk.py
+++ b/ladderfield/leader/desk.py
@@ -1,4 +1,4 @@
-"""The foreman's tables and every decision on them; no I/O, no clock of its own.
+"""The leader's tables and every decision on them; no I/O, no clock of its own.
 
 The order of things is always the same: a claim is made here, ``ledger`` puts it on record, only then does ``orders``
 hand out the launch; the worker's exit is taken in by ``report``, ``ledger`` records it, only then ``orders`` reaps.
@@ -13,12 +13,6 @@
 
 import msgspec
 
-from ladderfield.foreman.outlook import Outlook
-from ladderfield.foreman.pages import HOSTS, Page, Pages
-from ladderfield.foreman.room import RoomMaker
-from ladderfield.foreman.sessions import Sessions
-from ladderfield.foreman.vigil import SILENT, Vigil
-from ladderfield.foreman.waiting import Waiting
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import (
     CANCELLED,
@@ -32,6 +26,12 @@
     jobs_on,
     parse_types,
 )
+from ladderfield.leader.failure_detector import SILENT, FailureDetector
+from ladderfield.leader.outlook import Outlook
+from ladderfield.leader.pages import HOSTS, Page, Pages
+from ladderfield.leader.room import RoomMaker
+from ladderfield.leader.sessions import Sessions
+from ladderfield.leader.waiting import Waiting
 from ladderfield.queues.pick import Queues, Tier, tiers
 from ladderfield.queues.work import Claim, Job, Record, Shape, Share, TaskId, task_name
 from ladderfield.settings import Settings
@@ -53,7 +53,7 @@
 
 
 class Desk:
-    """The foreman's tables."""
+    """The leader's tables."""
 
     def __init__(
         self,
@@ -90,7 +90,7 @@
         self.outlook = Outlook(settings, self.wall_offset)
         self.waiting = Waiting(self, chains)
         self.sessions = Sessions(self)
-        self.vigil = Vigil(self, now + grace_s, before or {}, wall - now)
+        self.detector = FailureDetector(self, now + grace_s, before or {}, wall - now)
         self.room = RoomMaker(self)
         self.push: Callable[[Machine], None] = lambda machine: None
 
@@ -140,7 +140,7 @@
                     self.pages.spoil(page if other.attempt >= attempt else other.page or page)
 
     def _inherit(self, claim: Claim, now: float) -> None:
-        """A claim that an earlier foreman left on record binds: guards against a second start after any change."""
+        """A claim that an earlier leader left on record binds: guards against a second start after any change."""
         assert claim.page is not None
         claim.page.add_claim(claim)
         claim.job.bind(claim)
@@ -332,7 +332,7 @@
         # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
         # dear and the empty run dry and can be returned.
         free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
-        # After a takeover everybody is late, as workers first have to find the new foreman.
+        # After a takeover everybody is late, as workers first have to find the new leader.
         late = OVERDUE * self.report_s if now - self.term_from > SILENT * self.report_s else math.inf
         prompt = {one for one in machines if one.fresh_at is not None and now - one.fresh_at <= late}
         made = 0
@@ -450,12 +450,12 @@
     def sweep(self, now: float) -> list[str]:
         """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
         doomed = []
-        self.vigil.look(now)
+        self.detector.look(now)
         for machine in self.machines.values():
-            if self.vigil.well(machine, now):
+            if self.detector.well(machine, now):
                 continue
             if machine.claims and now > machine.lease_over_at(
-                self.epoch, self.term_from, self.vigil.others_until, self.lease_s
+                self.epoch, self.term_from, self.detector.others_until, self.lease_s
             ):
                 log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
                 self.queues.withdraw(machine)
@@ -464,7 +464,7 @@
             if machine.queue and not machine.usable(now, SILENT * self.report_s):
                 self.queues.withdraw(machine)
                 self.changed = True
-            why = self.vigil.why(machine, now)
+            why = self.detector.why(machine, now)
             if why and not machine.deleting:
                 log.warning("machine %s: to be deleted: %s", machine.host, why)
                 machine.deleting = True
--- a/ladderfield/foreman/vigil.py
+++ b/ladderfield/leader/failure_detector.py
@@ -12,7 +12,7 @@
 from ladderfield.workers.report import ANSWER_S, NEXT_S
 
 if TYPE_CHECKING:
-    from ladderfield.foreman.desk import Desk
+    from ladderfield.leader.desk import Desk
 
 log = logging.getLogger(__name__)
 
@@ -25,27 +25,27 @@
 BOOT = 3.0  # of a type's boot time: then a machine that never reported is given up
 
 
-class Vigil:
+class FailureDetector:
     """Judges machines on the desk's tables."""
 
     def __init__(self, desk: Desk, others_until: float, before: Mapping[str, float], wall_offset: float) -> None:
         self.desk = desk
-        self.others_until = others_until  # an earlier foreman may answer reports until then
-        # Where foremen before us stood: they may go on answering the workers there, whoever else has lost them.
+        self.others_until = others_until  # an earlier leader may answer reports until then
+        # Where leaders before us stood: they may go on answering the workers there, whoever else has lost them.
         self.zones_before = {
             peer.location: before[peer.member] - wall_offset for peer in desk.settings.peers if peer.member in before
         }
         self._mostly_silent = False
         self.mostly_mute = False  # then the fault is likely ours, and other machines would be no better off
         self._cut: set[str] = set()
-        # The longest way round a foreman that a worker can't reach: it waits for an answer and tries the next.
+        # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
         self._way = LATEST * desk.report_s + ANSWER_S + 2 * NEXT_S
         self._together = LOST_TOGETHER * desk.lease_s
 
     def sole(self, now: float) -> None:
-        """All other controllers have said, since our term began, that they are not foreman: no one else answers."""
+        """All other controllers have said, since our term began, that they are not leader: no one else answers."""
         if now < self.others_until:
-            log.info("epoch %d: no earlier foreman is left", self.desk.epoch)
+            log.info("epoch %d: no earlier leader is left", self.desk.epoch)
             self.others_until = now
 
     def look(self, now: float) -> None:
@@ -81,7 +81,7 @@
         elif finding or machine.relayed:
             patience = max(patience, self._way)
         if machine.up_at is None:
-            # A foreman before us may still be answering it; to delete what runs well would be our doing.
+            # A leader before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self._mostly_silent else self.zones_before.get(machine.zone, 0.0)
             if min(until, self.others_until) > term_from:
                 few = alone and not cut and not self._mostly_silent
--- a/ladderfield/foreman/ledger.py
+++ b/ladderfield/leader/ledger.py
@@ -1,7 +1,7 @@
-"""What the foreman writes: pages of claims and finished tasks, ends of jobs, and the clearing away of what is over.
+"""What the leader writes: pages of claims and finished tasks, ends of jobs, and the clearing away of what is over.
 
 One transaction is under way at a time and each is repeated unchanged until it is answered, or its guards fail.
-Every one is guarded by the epoch's version, so that a deposed foreman can't write, and by the version of each
+Every one is guarded by the epoch's version, so that a deposed leader can't write, and by the version of each
 record it touches, so that a copy that arrives late can't undo what was written after it.
 """
 
@@ -10,9 +10,9 @@
 import logging
 from typing import Any
 
-from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.pages import Page, encoded_size
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL
+from ladderfield.leader.desk import Desk
+from ladderfield.leader.pages import Page, encoded_size
 from ladderfield.leadership import EPOCH
 from ladderfield.queues.work import Claim, Job, Record
 
@@ -50,7 +50,7 @@
 
 
 class Ledger:
-    """Builds the foreman's transactions and takes their outcome in."""
+    """Builds the leader's transactions and takes their outcome in."""
 
     def __init__(self, desk: Desk, epoch_stamp: int, txn_ops: int) -> None:
         self.desk, self.epoch_stamp, self.most = desk, epoch_stamp, txn_ops
--- a/ladderfield/foreman/pages.py
+++ b/ladderfield/leader/pages.py
@@ -112,7 +112,7 @@
 
     def value(self) -> dict[str, Any]:
         """The record: of each job its finished ranges (d) and claims (a: task -> attempt, machine), and of each of
-        these machines zone, address, type and kind: a new foreman must be able to speak to them while the cloud, which
+        these machines zone, address, type and kind: a new leader must be able to speak to them while the cloud, which
         could tell, is down."""
         value: dict[str, Any] = {}
         for job, tasks in self.done.items():
--- a/ladderfield/foreman/room.py
+++ b/ladderfield/leader/room.py
@@ -16,7 +16,7 @@
 from ladderfield.workers.machine import Machine
 
 if TYPE_CHECKING:
-    from ladderfield.foreman.desk import Desk
+    from ladderfield.leader.desk import Desk
 
 log = logging.getLogger(__name__)
 
--- a/ladderfield/foreman/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -13,7 +13,7 @@
 from ladderfield.workers.report import Report, Rung
 
 if TYPE_CHECKING:
-    from ladderfield.foreman.desk import Desk
+    from ladderfield.leader.desk import Desk
 
 log = logging.getLogger(__name__)
 
@@ -117,7 +117,7 @@
 
     def _gone(self, machine: Machine, claim: Claim, report: Report, answering: bool) -> bool:
         """Whether a claim that the machine doesn't list is surely dead. The machine has accepted our epoch, so no
-        earlier foreman's order can run any more; what is left are our own orders."""
+        earlier leader's order can run any more; what is left are our own orders."""
         if claim.sent_tenure is None:
             if claim.inherited:
                 return True
@@ -167,7 +167,7 @@
     def orders(self, machine: Machine, now: float, tick: int | None, may_start: bool = True) -> list[dict[str, Any]]:
         """What the machine has to be told now. ``tick``: the report that this answers, None for a push.
 
-        Without ``may_start`` nothing is launched, though it is on record: another controller may be foreman already,
+        Without ``may_start`` nothing is launched, though it is on record: another controller may be leader already,
         and the job may be confirmed as cancelled there.
         """
         desk = self.desk
--- a/ladderfield/foreman/test_couriers.py
+++ b/ladderfield/leader/test_couriers.py
@@ -8,9 +8,9 @@
 import trio
 
 from ladderfield.fleet.cloud import Cloud
-from ladderfield.foreman.actor import Foreman
 from ladderfield.http import Client, NoAnswer
 from ladderfield.jobs.chains import Chains
+from ladderfield.leader.actor import Leader
 from ladderfield.leadership import EPOCH, Term
 from ladderfield.state import Change, StateClient, View
 from ladderfield.testing import TYPES, accepted, job, settings
@@ -23,9 +23,9 @@
     """The claim ends with the session, so that the task may start elsewhere: its launch must not begin it there too."""
     client = StateClient(settings())
     term = Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0)
-    foreman = Foreman(settings(), term, client, View(client, settings()), Cloud(settings()), Chains(lambda key: None))
-    foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
-    foreman.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
+    leader = Leader(settings(), term, client, View(client, settings()), Cloud(settings()), Chains(lambda key: None))
+    leader.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
+    leader.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
     sent: list[Any] = []
 
     async def call(self: Client, method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
@@ -33,17 +33,17 @@
         raise NoAnswer("lost")
 
     monkeypatch.setattr(Client, "call", call)
-    sessions = foreman.desk.sessions
+    sessions = leader.desk.sessions
     sessions.report(Report("m", "10.9.0.1:90", "m4", "za", False, 1, 1, 7, None, []), 0.1, answering=True)
-    foreman.desk.schedule(0.1)
-    txn = foreman.ledger.collect(True)
+    leader.desk.schedule(0.1)
+    txn = leader.ledger.collect(True)
     assert txn is not None
-    foreman.ledger.applied(txn, 9, 0.1)
+    leader.ledger.applied(txn, 9, 0.1)
     async with trio.open_nursery() as nursery:
-        foreman.nursery = nursery
-        foreman._push(0.1)  # the courier is yet to run
+        leader.nursery = nursery
+        leader._push(0.1)  # the courier is yet to run
         sessions.report(Report("m", "10.9.0.1:90", "m4", "za", False, 2, 2, 7, None, []), 0.1, answering=True)
-        assert not foreman.desk.machines["m"].claims
+        assert not leader.desk.machines["m"].claims
         await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
     assert [(body["tenure"], [order["verb"] for order in body["orders"]]) for body in sent] == [(1, ["launch"])]
--- a/ladderfield/foreman/test_desk.py
+++ b/ladderfield/leader/test_desk.py
@@ -1,4 +1,4 @@
-"""The foreman's decisions one by one: when a claim may begin, when it ends, what workers are told."""
+"""The leader's decisions one by one: when a claim may begin, when it ends, what workers are told."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.ledger import Ledger
-from ladderfield.foreman.pages import encoded_size
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.model import TYPES as TYPES_KEY
+from ladderfield.leader.desk import Desk
+from ladderfield.leader.ledger import Ledger
+from ladderfield.leader.pages import encoded_size
 from ladderfield.leadership import EPOCH, Term
 from ladderfield.state import Change
 from ladderfield.testing import TYPES, accepted, job, settings
@@ -199,7 +199,7 @@
 
 
 def inherited(attempt: int = 99) -> dict[str, Any]:
-    """What an earlier foreman left on record."""
+    """What an earlier leader left on record."""
     return {
         "lf/j/req-000001": (accepted(job(rungs=1, cores=4.0)), 4),
         "lf/p/0": ({"hosts": {"m": ABOUT}, "req-000001": {"a": {"0": [attempt, "m"]}}}, 6),
@@ -240,7 +240,7 @@
     assert not stage.machine("other").claims and len(stage.machine("m").claims) == 1
 
 
-def test_a_silent_machines_claims_outlast_any_earlier_foremans_answers() -> None:
+def test_a_silent_machines_claims_outlast_any_earlier_leaders_answers() -> None:
     stage = Stage(inherited())
     over = (36.0 + 12.0) * CLOCKS
     stage.desk.sweep(over - 0.1)
@@ -249,9 +249,9 @@
     assert not stage.machine().claims
 
 
-def test_the_wait_for_earlier_foremen_ends_when_all_others_say_they_follow() -> None:
+def test_the_wait_for_earlier_leaders_ends_when_all_others_say_they_follow() -> None:
     stage = Stage(inherited())
-    stage.desk.vigil.sole(3.0)
+    stage.desk.detector.sole(3.0)
     stage.desk.sweep(3.0 + 12.0)
     assert stage.machine().claims, "but the lease itself may have been renewed until then"
     stage.desk.sweep(3.0 + 12.0 * CLOCKS + 0.01)
@@ -416,7 +416,7 @@
         assert encoded_size(page) < 16 * 1024
 
 
-def test_a_foreman_that_stood_still_does_no_harm() -> None:
+def test_a_leader_that_stood_still_does_no_harm() -> None:
     """Incident inc-5681: a process woke up after its successor's term had begun, and saw all leases over."""
     term = Term(EPOCH_NOW, 3, 1, renewed_at=100.0, ttl=2.0, grace=17.0, known_at=100.0)
     assert term.may_start(101.9)
--- a/ladderfield/foreman/test_limits.py
+++ b/ladderfield/leader/test_limits.py
@@ -7,11 +7,11 @@
 import msgspec
 import pytest
 
-from ladderfield.foreman.ledger import Ledger, Txn
-from ladderfield.foreman.pages import encoded_size
-from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, rung
 from ladderfield.http import encode
 from ladderfield.jobs.model import FULL, parse_types, types_record
+from ladderfield.leader.ledger import Ledger, Txn
+from ladderfield.leader.pages import encoded_size
+from ladderfield.leader.test_desk import EPOCH_NOW, Stage, rung
 from ladderfield.settings import StateLimits
 from ladderfield.testing import TYPES, accepted, job
 
@@ -21,7 +21,7 @@
 
 
 def limited(data: dict[str, Any] | None = None) -> Stage:
-    """A foreman that keeps to the smaller limits, whatever it finds on record."""
+    """A leader that keeps to the smaller limits, whatever it finds on record."""
     stage = Stage(data)
     stage.desk.pages.most = int(LIMIT * FULL)
     stage.ledger = Ledger(stage.desk, 3, OPS)
@@ -76,7 +76,7 @@
 
 
 def old_record(pages: int = 3) -> dict[str, Any]:
-    """What a foreman with the larger limits left."""
+    """What a leader with the larger limits left."""
     record: dict[str, Any] = {
         "lf/j/req-000001": accepted(job("req-000001", shape="daemon", rungs=9000, owner="blue", rank="production")),
         "lf/j/req-000002": accepted(job("req-000002", rungs=9000, owner="blue")),
@@ -159,7 +159,7 @@
 
 def test_nothing_that_moves_is_lost_however_full_the_page_it_moves_to() -> None:
     """days/roll-in-trouble-daftar: `ran_twice`. What had moved filled its page to two bytes over its size, so that page
-    was not written, and the next foreman found the claims nowhere once the large page had been written without them."""
+    was not written, and the next leader found the claims nowhere once the large page had been written without them."""
     for longer in range(14):
         hosts = {f"i-0{n:05}" + "x" * longer: ["za", f"10.1.0.{n}:9000", "m4", False] for n in range(8)}
         claims = {str(100 + n): [OLD + n, host] for n, host in enumerate(hosts)}
--- a/ladderfield/foreman/test_outlook.py
+++ b/ladderfield/leader/test_outlook.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from ladderfield.foreman.outlook import Outlook
 from ladderfield.jobs.model import JobSpec
+from ladderfield.leader.outlook import Outlook
 from ladderfield.queues.work import Job
 from ladderfield.testing import job, settings
 
--- a/ladderfield/foreman/test_pages.py
+++ b/ladderfield/leader/test_pages.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from ladderfield.foreman.pages import encoded_size
-from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, rung
+from ladderfield.leader.pages import encoded_size
+from ladderfield.leader.test_desk import ABOUT, EPOCH_NOW, Stage, rung
 from ladderfield.queues.work import Claim
 from ladderfield.testing import accepted, job
 
@@ -13,7 +13,7 @@
 
 
 def taken_over(*pages: dict[str, Any], finals: dict[str, Any] | None = None, tasks: int = 2) -> Stage:
-    """A foreman that found a job and these pages on record."""
+    """A leader that found a job and these pages on record."""
     data: dict[str, Any] = {"lf/j/req-000001": (accepted(job(rungs=tasks)), 4)}
     hosts = {"m": ABOUT, "n": ABOUT}
     data |= {f"lf/p/{number}": ({"hosts": hosts, "req-000001": page}, 6 + number) for number, page in enumerate(pages)}
--- a/ladderfield/foreman/test_placement.py
+++ b/ladderfield/leader/test_placement.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, launched, rung
+from ladderfield.leader.test_desk import EPOCH_NOW, Stage, launched, rung
 from ladderfield.testing import accepted, job
 from ladderfield.workers.machine import CLOCKS
 
--- a/ladderfield/foreman/test_size.py
+++ b/ladderfield/leader/test_size.py
@@ -6,9 +6,9 @@
 import pytest
 
 from ladderfield.fleet.cloud import Cloud
-from ladderfield.foreman.actor import Foreman
-from ladderfield.foreman.test_desk import Stage
 from ladderfield.jobs.chains import Chains
+from ladderfield.leader.actor import Leader
+from ladderfield.leader.test_desk import Stage
 from ladderfield.leadership import Term
 from ladderfield.peers import back_most
 from ladderfield.queues.pick import Queues
@@ -69,19 +69,19 @@
 async def test_sockets_suffice_for_the_fleet_the_users_and_the_other_controllers(
     sockets: int, peers: int, machines: int
 ) -> None:
-    """One foreman holds every worker's connection; no other use may take a worker's or a user's socket."""
+    """One leader holds every worker's connection; no other use may take a worker's or a user's socket."""
     own = settings()
     quota = msgspec.structs.replace(own.cluster.quota, max_connections=sockets)
     own = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, quota=quota))
     client = StateClient(own)
     term = Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0)
-    foreman = Foreman(own, term, client, View(client, own), Cloud(own), Chains(lambda key: None))
+    leader = Leader(own, term, client, View(client, own), Cloud(own), Chains(lambda key: None))
     front, back = int(sockets * USERS_SHARE), back_most(sockets)
     assert machines + 100 <= front, "workers, and users beside them"
     assert back // peers >= 16, "relays"
-    outward = foreman._keep + foreman._couriers + back // peers * peers
+    outward = leader._keep + leader._couriers + back // peers * peers
     assert front + back + outward + 2 * KEPT + 2 <= sockets
-    assert foreman._most >= machines, "a whole fleet reports at once after a takeover"
+    assert leader._most >= machines, "a whole fleet reports at once after a takeover"
 
 
 def test_large_jobs_begin_and_go_on_while_small_ones_keep_coming() -> None:
--- a/ladderfield/foreman/test_stranded.py
+++ b/ladderfield/leader/test_stranded.py
@@ -8,8 +8,8 @@
 import trio
 
 from ladderfield.fleet.plan import Planner
-from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.test_desk import Stage, launched, rung
+from ladderfield.leader.desk import Desk
+from ladderfield.leader.test_desk import Stage, launched, rung
 from ladderfield.testing_cluster import cluster
 
 WAIT = 90.0  # seconds that no job may wait once a machine that fits has room
@@ -134,9 +134,9 @@
         for worker in mute:
             worker.mute = True
         if takeover:
-            whole.crash(whole.foreman())
+            whole.crash(whole.leader())
         await trio.sleep(20)
-        node = whole.foreman()
+        node = whole.leader()
         uid = await whole.submit(node, uid="req-000002", rungs=2, cores=4.0, owner="blue", expectS=25.0)
         await whole.until(node, uid, "done", WAIT)
         on = {name for worker in whole.cloud.workers.values() if worker not in mute for name in worker.on()}
--- a/ladderfield/foreman/test_unheard.py
+++ b/ladderfield/leader/test_unheard.py
@@ -8,10 +8,10 @@
 import pytest
 
 from ladderfield.fleet.cloud import Cloud
-from ladderfield.foreman.actor import Foreman, Pushed
-from ladderfield.foreman.desk import Desk
-from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
 from ladderfield.jobs.chains import Chains
+from ladderfield.leader.actor import Leader, Pushed
+from ladderfield.leader.desk import Desk
+from ladderfield.leader.test_desk import ABOUT, EPOCH_NOW, Stage, inherited, launched, rung
 from ladderfield.leadership import Term
 from ladderfield.queues.work import Claim
 from ladderfield.state import StateClient, View
@@ -85,7 +85,7 @@
 
 
 def test_a_report_without_our_epoch_is_no_sign_that_a_machine_is_well() -> None:
-    """A new foreman with empty tables: copies of what a dead machine said before come one by one."""
+    """A new leader with empty tables: copies of what a dead machine said before come one by one."""
     stage = Stage(inherited())
     for now in range(1, 14):
         stage.report("m", (rung(0, 99),), now=float(now), epoch=EPOCH_NOW - 1)
@@ -135,22 +135,22 @@
         parse_report(msgspec.json.encode(RAW | change))
 
 
-def test_machines_that_another_foreman_may_still_answer_are_not_deleted_in_bulk() -> None:
-    """Grown apart: the foreman lost the state service alone, its successor heard of no worker and gave 400 up."""
+def test_machines_that_another_leader_may_still_answer_are_not_deleted_in_bulk() -> None:
+    """Grown apart: the leader lost the state service alone, its successor heard of no worker and gave 400 up."""
     claims = {str(number): [99, host] for number, host in enumerate("abc")}
     pages = {"lf/p/0": ({"hosts": dict.fromkeys("abc", ABOUT), "req-000001": {"a": claims}}, 6)}
     job_key = {"lf/j/req-000001": (accepted(job(rungs=3)), 4)}
     stage = Stage(job_key | pages)
     assert stage.desk.sweep(30.0) == []
-    stage.desk.vigil.sole(31.0)
+    stage.desk.detector.sole(31.0)
     assert stage.desk.sweep(40.0) == [], "their leases may have been renewed until then"
     assert sorted(stage.desk.sweep(41.0)) == ["a", "b", "c"], "nobody else answers them"
 
 
-def test_a_zone_that_an_earlier_foreman_may_hold_is_given_its_time() -> None:
-    """Grown troubles: the zone was cut off with its foreman, and two takeovers later its machines were deleted."""
+def test_a_zone_that_an_earlier_leader_may_hold_is_given_its_time() -> None:
+    """Grown troubles: the zone was cut off with its leader, and two takeovers later its machines were deleted."""
     one = Desk(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, Chains(lambda key: None), {"n1": 1020.0})
-    assert one.vigil.zones_before == {"zb": 20.0}
+    assert one.detector.zones_before == {"zb": 20.0}
     for host, zone in (("a", "za"), ("b", "zb"), ("c", "za"), ("d", "za"), ("e", "za")):
         machine = one.machines[host] = Machine(host, "10.9.0.1:90", UNKNOWN, zone, False, 0.0)
         if host in "cde":
@@ -159,21 +159,21 @@
     for host in "cde":
         one.machines[host].fresh_at = 29.0
     assert one.sweep(29.0) == ["a"]
-    assert one.sweep(29.7) == ["a", "b"], "most of a lease after the earlier foreman's time"
+    assert one.sweep(29.7) == ["a", "b"], "most of a lease after the earlier leader's time"
 
 
 async def test_calls_that_fail_tell_of_deafness_only_where_reports_come_straight() -> None:
-    """A foreman that no worker can reach: others carry the reports, and its own calls fail everywhere."""
+    """A leader that no worker can reach: others carry the reports, and its own calls fail everywhere."""
     own = settings()
     client = StateClient(own)
-    foreman = Foreman(
+    leader = Leader(
         own, Term(EPOCH_NOW, 3, 1, 0.0, 2.0, 17.0, 0.0), client, View(client, own), Cloud(own), Chains(lambda key: None)
     )
-    machine = foreman.desk.machines["m"] = Machine("m", "10.9.0.1:90", UNKNOWN, "za", False, 0.0)
+    machine = leader.desk.machines["m"] = Machine("m", "10.9.0.1:90", UNKNOWN, "za", False, 0.0)
     for heard_at, relayed, deaf_then in ((80.0, False, False), (100.0, True, False), (100.0, False, True)):
         machine.heard_at, machine.relayed = heard_at, relayed
         for _ in range(3):
-            foreman._on_pushed(Pushed("m", [], False, None), 100.0)
+            leader._on_pushed(Pushed("m", [], False, None), 100.0)
         assert (machine.deaf_since is not None) == deaf_then
 
 
@@ -193,8 +193,8 @@
     assert machine.claims
 
 
-def test_a_machine_on_its_way_round_a_foreman_that_lost_the_workers_is_not_given_up() -> None:
-    """Daftar's day apart: 65 machines were deleted while they waited for the foreman's answer and tried the next."""
+def test_a_machine_on_its_way_round_a_leader_that_lost_the_workers_is_not_given_up() -> None:
+    """Daftar's day apart: 65 machines were deleted while they waited for the leader's answer and tried the next."""
     stage = Stage()
     for host in ("a", "b", "c"):
         stage.report(host)
@@ -215,7 +215,7 @@
     assert stage.desk.sweep(10.0) == ["m"]
 
 
-def test_few_that_are_missing_after_a_takeover_are_given_up_sooner_once_no_earlier_foreman_is_left() -> None:
+def test_few_that_are_missing_after_a_takeover_are_given_up_sooner_once_no_earlier_leader_is_left() -> None:
     """Daftar's day zone: replicas on machines cut off before the crash were dead for 6 s before anything was done."""
     stage = Stage()
     for host in "abcde":
@@ -227,6 +227,6 @@
         for host in "abcde":
             stage.report(host, now=now)
         assert ("m" in stage.desk.sweep(now)) is False, "another may still answer it"
-        stage.desk.vigil.sole(0.5)
+        stage.desk.detector.sole(0.5)
         assert ("m" in stage.desk.sweep(now)) is doomed
-        stage.desk.vigil.others_until = 36.0
+        stage.desk.detector.others_until = 36.0
--- a/ladderfield/foreman/test_waiting.py
+++ b/ladderfield/leader/test_waiting.py
@@ -1,11 +1,11 @@
-"""Waiting jobs at the foreman: none starts too early, none behind a cancelled one goes on, and none is in the way."""
+"""Waiting jobs at the leader: none starts too early, none behind a cancelled one goes on, and none is in the way."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from ladderfield.fleet.plan import Planner
-from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, rung
+from ladderfield.leader.test_desk import ABOUT, EPOCH_NOW, Stage, rung
 from ladderfield.testing import accepted, job
 
 A, B, C = "req-000001", "req-000002", "req-000003"
--- a/ladderfield/foreman/waiting.py
+++ b/ladderfield/leader/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting jobs on the foreman's tables: when one is ready, when it is cancelled with another, how urgent each is.
+"""Waiting jobs on the leader's tables: when one is ready, when it is cancelled with another, how urgent each is.
 
 What is so follows from the records and is asked of ``Chains``; here the tables are kept in step with it.
 """
@@ -13,7 +13,7 @@
 from ladderfield.queues.work import Job
 
 if TYPE_CHECKING:
-    from ladderfield.foreman.desk import Desk
+    from ladderfield.leader.desk import Desk
 
 log = logging.getLogger(__name__)
 
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -1,8 +1,8 @@
-"""Who is foreman: a lease in the state service names it, and an epoch that only grows tells its orders apart.
+"""Who is leader: a lease in the state service names it, and an epoch that only grows tells its orders apart.
 
-Raising the epoch is one conditional write, made together with the lease's key. As every write of a foreman is
-guarded by the epoch key's version, that one write also moves all claims to the new foreman: nothing that an
-earlier foreman still has on its way to the state service can be applied any more.
+Raising the epoch is one conditional write, made together with the lease's key. As every write of a leader is
+guarded by the epoch key's version, that one write also moves all claims to the new leader: nothing that an
+earlier leader still has on its way to the state service can be applied any more.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 
-FOREMAN = "lf/foreman"
+LEADER = "lf/foreman"
 EPOCH = "lf/epoch"
 
 GRACE_BEFORE = 3.0  # of lease_s: the grace period of versions before this one, and never more than that
@@ -33,10 +33,10 @@
 
 
 def grace_s(settings: Settings) -> float:
-    """The grace period: how long after it last surely knew all cancellations a foreman may answer reports.
+    """The grace period: how long after it last surely knew all cancellations a leader may answer reports.
 
     A worker goes on for lease_s after its last answered report. A cancellation that was confirmed right after that
-    moment, unknown to this foreman, is carried out within cancel_s all the same if nothing is answered later than this.
+    moment, unknown to this leader, is carried out within cancel_s all the same if nothing is answered later than this.
     Where the settings leave nothing there is no grace period. A successor adds it before it calls an unheard machine's
     lease expired; as it may be of the version before, it is never longer than that version's.
     """
@@ -54,7 +54,7 @@
 
 @dataclass
 class Term:
-    """One foreman's time in office."""
+    """One leader's time in office."""
 
     epoch: int
     stamp: int  # the epoch key's version: the guard of every write
@@ -65,7 +65,7 @@
     known_at: float  # every cancellation that was confirmed before this is surely known here
     before: dict[str, float] = field(
         default_factory=dict
-    )  # earlier foremen who may still answer; until what time of day
+    )  # earlier leaders who may still answer; until what time of day
     over: trio.Event = field(default_factory=trio.Event)
 
     def may_start(self, now: float) -> bool:
@@ -85,12 +85,12 @@
     def end(self, why: str) -> None:
         """Step down."""
         if not self.over.is_set():
-            log.info("epoch %d: no longer foreman: %s", self.epoch, why)
+            log.info("epoch %d: no longer leader: %s", self.epoch, why)
             self.over.set()
 
 
 class Leadership:
-    """Campaigns whenever there is no foreman, and keeps the lease while this controller is it."""
+    """Campaigns whenever there is no leader, and keeps the lease while this controller is it."""
 
     def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
         self.settings, self.client, self.view = settings, client, view
@@ -102,28 +102,28 @@
         self._turn = members.index(settings.member)
 
     def latest(self) -> tuple[int, str]:
-        """The highest epoch known here, and its foreman ("" if there is none, or we can't say)."""
+        """The highest epoch known here, and its leader ("" if there is none, or we can't say)."""
         if self.term is not None:
             return self.term.epoch, self.settings.member
         recorded = (self.known_epoch(), self._holder() or "")
         return max(recorded, self._told, key=lambda known: known[0])
 
-    def told(self, epoch: int, foreman: str) -> None:
-        """Another controller says who is foreman. It counts where our own view is behind, that is where the state
+    def told(self, epoch: int, leader: str) -> None:
+        """Another controller says who is leader. It counts where our own view is behind, that is where the state
         service does not serve us; and never against a lease that is surely ours."""
-        if epoch <= max(self._told[0], self.known_epoch()) or not foreman or epoch >= EPOCH_MOST:
+        if epoch <= max(self._told[0], self.known_epoch()) or not leader or epoch >= EPOCH_MOST:
             return
-        self._told = (epoch, foreman)
+        self._told = (epoch, leader)
         if self.term is not None and epoch > self.term.epoch and not self.term.may_start(trio.current_time()):
-            self.term.end(f"{foreman} has epoch {epoch}")
+            self.term.end(f"{leader} has epoch {epoch}")
 
-    def known_foreman(self) -> str | None:
-        """Who is foreman, as far as is known here."""
+    def known_leader(self) -> str | None:
+        """Who is leader, as far as is known here."""
         return self.latest()[1] or None
 
     def _holder(self) -> str | None:
-        """Who the view says is foreman."""
-        value = self.view.get(FOREMAN)
+        """Who the view says is leader."""
+        value = self.view.get(LEADER)
         return value.get("member") if isinstance(value, dict) else None
 
     def known_epoch(self) -> int:
@@ -131,7 +131,7 @@
         return int((self.view.get(EPOCH) or {}).get("epoch", 0))
 
     def _earlier(self) -> dict[str, float]:
-        """Earlier foremen that nobody has seen the end of, and until when they may go on answering workers. Only a
+        """Earlier leaders that nobody has seen the end of, and until when they may go on answering workers. Only a
         hint where not to be hasty; what is safe does not depend on clocks."""
         record, now = self.view.get(EPOCH) or {}, time.time()
         earlier = {member: until for member, until in record.get("before", {}).items() if until > now}
@@ -168,12 +168,12 @@
                     await changes.receive()
 
     def _vacant(self) -> bool:
-        """No foreman, or the one on record is an earlier process of this very controller, which is dead."""
+        """No leader, or the one on record is an earlier process of this very controller, which is dead."""
         return self._holder() in (None, self.settings.member)
 
     async def _campaign(self) -> Term | None:
         # A copy of this that is carried out late ends no newer term.
-        guards = {FOREMAN: self.view.stamp(FOREMAN), EPOCH: self.view.stamp(EPOCH)}
+        guards = {LEADER: self.view.stamp(LEADER), EPOCH: self.view.stamp(EPOCH)}
         epoch = self.known_epoch() + 1
         timeout = self.ttl / 2
         asked = trio.current_time()
@@ -181,16 +181,16 @@
         sent = trio.current_time()
         before = self._earlier()
         record = {"epoch": epoch, "member": self.settings.member, "before": before}
-        puts = {FOREMAN: {"member": self.settings.member}, EPOCH: record}
-        outcome = await self.client.commit(guards, puts, [], timeout, hold, FOREMAN)
+        puts = {LEADER: {"member": self.settings.member}, EPOCH: record}
+        outcome = await self.client.commit(guards, puts, [], timeout, hold, LEADER)
         if outcome.failed is not None:
             with trio.move_on_after(timeout):
                 await self.view.reach(outcome.ledger)
             return None
         if trio.current_time() > asked + self.ttl:
-            # We stood still meanwhile. The lease may be over, others may have heard from us that we are not foreman.
+            # We stood still meanwhile. The lease may be over, others may have heard from us that we are not leader.
             return None
-        log.info("epoch %d: foreman is %s", epoch, self.settings.member)
+        log.info("epoch %d: leader is %s", epoch, self.settings.member)
         return Term(epoch, outcome.ledger, hold, sent, self.ttl, self.grace, sent, before)
 
     async def _serve(
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,13 +1,13 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
-Three things need it: a worker that can't reach the foreman gets its report relayed, if need be by way of a third
-controller; each learns how the others are: whether the state service serves them, that they are not foreman, and
-who is; and a foreman learns of cancellations that it can't see on record (``vouching.py``). So a foreman that the state
+Three things need it: a worker that can't reach the leader gets its report relayed, if need be by way of a third
+controller; each learns how the others are: whether the state service serves them, that they are not leader, and
+who is; and a leader learns of cancellations that it can't see on record (``vouching.py``). So a leader that the state
 service alone has lost steps down as soon as its successor can be asked, and a controller without the state service
 still sends workers to the right place.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
-    health: leads B | epoch Q | name of that epoch's foreman
+    health: leads B | epoch Q | name of that epoch's leader
 
 The last two kinds are sent only to who has said on record that it takes them (``rollout.py``).
 
@@ -31,7 +31,7 @@
 MAGIC, VERSION = b"lf", 2
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH, VOUCH, CANCELLED = 1, 2, 3, 4, 5
-SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be foreman itself | highest epoch known, then its foreman
+SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be leader itself | highest epoch known, then its leader
 BACK_SHARE = 1 / 16  # of the sockets: what the others may open to us, and so we to them all together
 
 
@@ -120,8 +120,8 @@
         self._busy = 0
         self.reachable = True  # as of the last question
         self.state_ok = False  # whether the state service serves it, as it last said
-        self.leads = True  # whether it may be foreman, as it last said; silence proves nothing
-        self.knows: tuple[int, str] = (0, "")  # the highest epoch it knows, and that epoch's foreman
+        self.leads = True  # whether it may be leader, as it last said; silence proves nothing
+        self.knows: tuple[int, str] = (0, "")  # the highest epoch it knows, and that epoch's leader
 
     async def ask(self, kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
         """The answer's status and body, or None."""
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -1,4 +1,4 @@
-"""Dealing, pulling, helping, picking: the design's ordinary path, as pure decisions over the foreman's tables.
+"""Dealing, pulling, helping, picking: the design's ordinary path, as pure decisions over the leader's tables.
 
 Kept from the design: a queue per machine, blocks dealt round-robin, a free machine pulls from its own queue, and
 when that holds nothing for it, helps the straggler with the fewest helpers, then the slowest progress; within a
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -1,4 +1,4 @@
-"""Jobs as the foreman holds them: their tasks, and the claims on these.
+"""Jobs as the leader holds them: their tasks, and the claims on these.
 
 A claim is the safety of the whole program. It says that one task, as one attempt, may be on one machine. It is on
 record before the first order goes out, and it binds (no second claim, counted against team and placement) until
@@ -13,7 +13,7 @@
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
 
 if TYPE_CHECKING:
-    from ladderfield.foreman.pages import Page
+    from ladderfield.leader.pages import Page
 
 TaskId = tuple[str, int]
 Shape = tuple[str, float, float, float, bool, str | None, tuple[str, ...] | None]
@@ -67,7 +67,7 @@
         self.job, self.index, self.attempt, self.host = job, index, attempt, host
         self.page: Page | None = None  # the record that holds it
         self.recorded = False  # in the state service: only then may the launch go out
-        self.inherited = False  # made by an earlier foreman, whose order may be out or not
+        self.inherited = False  # made by an earlier leader, whose order may be out or not
         self.phase: str | None = None  # as last reported
         self.running_at: float | None = None
         self.sent_tenure: int | None = None  # the session the launch was last sent to
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -9,12 +9,12 @@
 import trio
 
 from ladderfield.fleet.cloud import Cloud, CloudTrouble
-from ladderfield.foreman.actor import Foreman, Learnt, Sole
 from ladderfield.http import Reply, Request, Server
 from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.chains import Chains
 from ladderfield.jobs.door import SUBMIT_S, Door
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
+from ladderfield.leader.actor import Leader, Learnt, Sole
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import CANCELLED, HEALTH, RELAY, SELF, VOUCH, BackServer, PeerLink, back_most
 from ladderfield.rollout import Rollout
@@ -47,7 +47,7 @@
         self.door = Door(settings, self.client, self.view, self.chains, self.rollout, self.cancellations, self.links)
         self.reports = ReportDesk(settings, self.leadership, self.links)
         self.vouching = Vouching(self.leadership, self.view, self.cancellations, self.links)
-        self.vouching.deliver = lambda uids: self.reports.tell_foreman(Learnt(uids))
+        self.vouching.deliver = lambda uids: self.reports.tell_leader(Learnt(uids))
 
     async def handle(self, request: Request) -> Reply:
         """Any request to ``bind``."""
@@ -62,13 +62,13 @@
             return await self.reports.relayed(body, status)
         if kind == HEALTH:
             leads = self.leadership.term is not None or self.reports.inbox is not None
-            epoch, foreman = self.leadership.latest()
-            return (200 if self.door.state_ok else 503), SELF.pack(leads, epoch) + foreman.encode()
+            epoch, leader = self.leadership.latest()
+            return (200 if self.door.state_ok else 503), SELF.pack(leads, epoch) + leader.encode()
         if kind == VOUCH:
             return self.vouching.answer(body)
         if kind == CANCELLED:
             try:
-                self.reports.tell_foreman(Learnt(parse_uids(body)))
+                self.reports.tell_leader(Learnt(parse_uids(body)))
             except Strange:
                 return 400, b""
             return 200, b""
@@ -89,23 +89,23 @@
                 if self.door.state_ok:
                     term.knows(self.view.proven_at)
                 else:
-                    self.reports.tell_foreman(Learnt(*await self.vouching.ask(term, pause)))
+                    self.reports.tell_leader(Learnt(*await self.vouching.ask(term, pause)))
             if (
                 term is not None
                 and term is self.leadership.term
                 and not any(link.leads for link in self.links.values())
             ):
-                # All were asked after our term began, so no earlier foreman is left to keep leases alive.
-                self.reports.tell_foreman(Sole())
+                # All were asked after our term began, so no earlier leader is left to keep leases alive.
+                self.reports.tell_leader(Sole())
             await trio.sleep(pause)
 
     async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
-        """Be foreman whenever this controller is elected."""
+        """Be leader whenever this controller is elected."""
         async for term in terms:
             try:
-                await Foreman(self.settings, term, self.client, self.view, self.cloud, self.chains).run(self._announce)
+                await Leader(self.settings, term, self.client, self.view, self.cloud, self.chains).run(self._announce)
             except Exception:
-                log.exception("epoch %d: the foreman failed", term.epoch)
+                log.exception("epoch %d: the leader failed", term.epoch)
                 self._announce(None)
                 term.end("of an error")
 
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -83,13 +83,13 @@
         host, port = address(settings.outside.state)
         self._client = Client(host, port)
         self._watcher = Client(host, port, keep=1)
-        # Nearly half of the writes are the one foreman's, half is shared by the front doors. Every change wakes the
+        # Nearly half of the writes are the one leader's, half is shared by the front doors. Every change wakes the
         # watches of all controllers, so these have a share of the calls of their own; a tenth is left for renewals.
         self.writes = Budget(limits.write_rps * 0.5 / size)
-        self.foreman_writes = Budget(limits.write_rps * 0.45)
+        self.leader_writes = Budget(limits.write_rps * 0.45)
         self.watches = Budget(limits.rps * 0.4 / size)
         self.calls = Budget(limits.rps * 0.3 / size)
-        self.foreman_calls = Budget(limits.rps * 0.2)
+        self.leader_calls = Budget(limits.rps * 0.2)
         self.answered_at = -math.inf  # when the service last answered us with anything but trouble
 
     async def _call(
--- a/ladderfield/test_cancelled.py
+++ b/ladderfield/test_cancelled.py
@@ -49,7 +49,7 @@
         await whole.busy(long)
         short = await whole.submit(uid="req-000002", rungs=30, owner="blue")
         await whole.busy(short)
-        first = whole.foreman()
+        first = whole.leader()
         whole.crash(first)
         await trio.sleep(after)
         node = next(iter(whole.controllers))
@@ -60,7 +60,7 @@
 
 
 async def test_cancelled_while_the_state_service_tells_late(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The foreman would start the job's next tasks for as long as its view lags, were it not told at once."""
+    """The leader would start the job's next tasks for as long as its view lags, were it not told at once."""
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(rungs=400, owner="blue")
         await whole.busy(uid)
@@ -69,7 +69,7 @@
             worker.run_s = 0.4  # so that there is always one to start
         await trio.sleep(6)
         whole.state.watch_lag = 6.0
-        node = next(n for n in whole.controllers if n != whole.foreman())
+        node = next(n for n in whole.controllers if n != whole.leader())
         confirmed = await cancel(whole, node, uid)
         await gone(whole, uid, confirmed, 5.0)
 
@@ -89,29 +89,29 @@
         whole.cloud.down = cloud_down
         worker.hang(hang_s)
         if takeover:
-            whole.crash(whole.foreman())
+            whole.crash(whole.leader())
         confirmed = await cancel(whole, next(iter(whole.controllers)), uid)
         await gone(whole, uid, confirmed)
 
 
-async def test_cancelled_through_the_next_foreman_while_one_keeps_its_workers(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A foreman that lost the state service and the other controllers goes on answering workers that hear nobody else,
+async def test_cancelled_through_the_next_leader_while_one_keeps_its_workers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A leader that lost the state service and the other controllers goes on answering workers that hear nobody else,
     and the cloud is down, so that only the end of its grace period, and then of their leases, stops the tasks."""
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=4)
         await whole.busy(uid)
         await trio.sleep(8)
-        first = whole.foreman()
+        first = whole.leader()
         whole.cloud.down = True
         await isolate(whole, first)
         for worker in whole.cloud.workers.values():
             worker.hold = True  # /orders don't arrive
         await trio.sleep(6)
-        other = whole.foreman()
+        other = whole.leader()
         assert other != first
         confirmed = await cancel(whole, other, uid)
         await trio.sleep(2)
-        assert left(whole, uid), "its workers are still with the foreman before"
+        assert left(whole, uid), "its workers are still with the leader before"
         await gone(whole, uid, confirmed)
 
 
--- a/ladderfield/test_cluster.py
+++ b/ladderfield/test_cluster.py
@@ -90,7 +90,7 @@
         await whole.busy(uid)
         status, answer = await whole.call(2, "POST", f"/api/jobs/{uid}/cancel")
         assert (status, answer["phase"]) == (200, "cancelled")
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         await trio.sleep(10)
         left = next(iter(whole.controllers))
         assert await whole.phase(left, uid) == "cancelled"
@@ -109,14 +109,14 @@
         assert not whole.on()
 
 
-async def test_a_crashed_foreman_is_followed_and_nothing_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_crashed_leader_is_followed_and_nothing_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(rungs=16, cores=2.0)
         await whole.busy(uid)
-        first = whole.foreman()
+        first = whole.leader()
         whole.crash(first)
         await trio.sleep(8)
-        assert whole.foreman() != first
+        assert whole.leader() != first
         left = next(iter(whole.controllers))
         await whole.until(left, uid, "done", 60)
         assert len(whole.starts(uid)) == 16
@@ -144,7 +144,7 @@
         whole.cloud.down = True
         whole.net.cut.add(worker.address)
         await trio.sleep(6)
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         await trio.sleep(20)
         assert len(whole.starts(uid)) == 1
         whole.cloud.down = False
@@ -167,13 +167,13 @@
         assert len(whole.starts(uid)) == 1
 
 
-async def test_orders_of_a_deposed_foreman_are_not_obeyed(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_orders_of_a_deposed_leader_are_not_obeyed(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=2)
         await whole.busy(uid)
-        old = whole.controllers[whole.foreman()].leadership.term
+        old = whole.controllers[whole.leader()].leadership.term
         assert old is not None
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         await trio.sleep(8)
         for worker in whole.cloud.workers.values():
             assert not worker.late({"epoch": old.epoch, "tenure": worker.tenure, "orders": []})
@@ -183,7 +183,7 @@
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=2)
         await whole.busy(uid)
-        epoch = whole.controllers[whole.foreman()].leadership.term.epoch  # type: ignore[union-attr]
+        epoch = whole.controllers[whole.leader()].leadership.term.epoch  # type: ignore[union-attr]
         whole.state.down = True
         await trio.sleep(25)
         assert sum(whole.on().values()) == 2
@@ -192,14 +192,14 @@
         whole.state.down = False
         await trio.sleep(5)
         assert len(whole.starts(uid)) == 2
-        assert whole.controllers[whole.foreman()].leadership.term.epoch == epoch  # type: ignore[union-attr]
+        assert whole.controllers[whole.leader()].leadership.term.epoch == epoch  # type: ignore[union-attr]
 
 
-async def test_a_foreman_alone_without_the_state_service_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_leader_alone_without_the_state_service_is_replaced(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=2)
         await whole.busy(uid)
-        first = whole.foreman()
+        first = whole.leader()
         alone = whole.controllers[first]
 
         async def unavailable(*_: Any, **__: Any) -> tuple[int, bytes]:
@@ -208,7 +208,7 @@
 
         alone.client._client.call = unavailable  # type: ignore[method-assign]
         await trio.sleep(15)
-        assert whole.foreman() != first
+        assert whole.leader() != first
         assert alone.leadership.term is None
         assert len(whole.starts(uid)) == 2
         assert sum(whole.on().values()) == 2
@@ -227,16 +227,16 @@
         assert len(whole.starts(uid)) == 3
 
 
-async def test_a_worker_cut_from_the_foreman_is_relayed(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_worker_cut_from_the_leader_is_relayed(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=1)
         worker = await whole.busy(uid)
-        foreman = whole.foreman()
+        leader = whole.leader()
 
         real_call = Client.call
 
         async def call(self: Client, method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
-            if target == "/v1/report" and self.host == f"10.0.0.{foreman + 1}":
+            if target == "/v1/report" and self.host == f"10.0.0.{leader + 1}":
                 raise OSError("cut")
             if target == "/orders":
                 await trio.sleep(timeout)
@@ -285,15 +285,15 @@
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=2)
         await whole.busy(uid)
-        first = whole.controllers[whole.foreman()].leadership.term
+        first = whole.controllers[whole.leader()].leadership.term
         assert first is not None
         with monkeypatch.context() as broken:
-            broken.setattr("ladderfield.foreman.desk.Desk.schedule", lambda self, now: 1 // 0)
+            broken.setattr("ladderfield.leader.desk.Desk.schedule", lambda self, now: 1 // 0)
             await whole.submit(uid="req-000002")
             await trio.sleep(1)
         assert first.over.is_set() and len(whole.controllers) == 3
         await trio.sleep(5)
-        assert whole.foreman() in whole.controllers
+        assert whole.leader() in whole.controllers
         assert len(whole.starts(uid)) == 2 and await whole.phase(0, uid) == "running"
 
 
@@ -364,7 +364,7 @@
         dead.dead = True
         dead.rungs.clear()
         if takeover:
-            whole.crash(whole.foreman())
+            whole.crash(whole.leader())
 
         async def send(node: int, body: dict[str, Any]) -> None:
             with trio.move_on_after(4):
@@ -378,25 +378,25 @@
                         nursery.start_soon(send, node, body)
                     await trio.sleep(0.2)
         epochs = {one.leadership.known_epoch() for one in whole.controllers.values()}
-        assert epochs == {2 if takeover else 1}, "no foreman was deposed"
+        assert epochs == {2 if takeover else 1}, "no leader was deposed"
         await trio.sleep(10)
         assert sum(whole.on().values()) == 2 and len(whole.starts(uid)) == 3, "only the lost replica started again"
 
 
-async def test_a_foreman_with_nobody_but_its_workers_makes_way(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_leader_with_nobody_but_its_workers_makes_way(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=3)
         await whole.busy(uid)
         await trio.sleep(3)
-        first = whole.foreman()
+        first = whole.leader()
         await isolate(whole, first)
         status, _ = 200, None
         for _ in range(12):
             await trio.sleep(1)
             status, _ = await whole.call(first, "GET", "/ready")
         assert status == 503, "users are sent elsewhere"
-        assert whole.foreman() != first
-        other = whole.foreman()
+        assert whole.leader() != first
+        other = whole.leader()
         later = await whole.submit(other, uid="req-000002", rungs=4)
         await whole.until(other, later, "done", 40)
         assert len(whole.starts(uid)) == 3, "no replica was disturbed"
@@ -406,7 +406,7 @@
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=3)
         await whole.busy(uid)
-        first = whole.foreman()
+        first = whole.leader()
         await isolate(whole, next(n for n in whole.controllers if n != first))
         whole.crash(first)
         await trio.sleep(0.2)
@@ -495,17 +495,17 @@
         worker = await whole.busy(uid)
         worker.epoch = 4000
         await trio.sleep(25)
-        assert {one.leadership.known_epoch() for one in whole.controllers.values()} == {1}, "no foreman was deposed"
+        assert {one.leadership.known_epoch() for one in whole.controllers.values()} == {1}, "no leader was deposed"
         assert worker.dead and sum(whole.on().values()) == 3
 
 
-async def test_a_foreman_that_only_the_state_service_lost_makes_way_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_leader_that_only_the_state_service_lost_makes_way_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Grown apart: it went on answering its workers, and the cloud, which could tell where they are, was down."""
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=4)
         await whole.busy(uid)
         await trio.sleep(3)
-        first = whole.foreman()
+        first = whole.leader()
         whole.cloud.down = True
 
         async def unavailable(*_: Any, **__: Any) -> tuple[int, bytes]:
@@ -517,7 +517,7 @@
         await trio.sleep(8)
         assert alone.leadership.term is None, "it was told of its successor"
         _, answer = await whole.call(first, "POST", "/v1/report", whole.cloud.workers["i-000000"].body())
-        assert answer.get("foreman") == f"n{whole.foreman()}" or answer.get("epoch") == 2, "and names it, or relays"
+        assert answer.get("foreman") == f"n{whole.leader()}" or answer.get("epoch") == 2, "and names it, or relays"
         await trio.sleep(30)
         whole.cloud.down = False
         await trio.sleep(10)
@@ -529,24 +529,24 @@
         uid = await whole.submit(shape="daemon", rungs=3, cores=4.0)
         worker = await whole.busy(uid)
         worker.about["endpoint"] = "nowhere"
-        first = whole.foreman()
+        first = whole.leader()
         other = await whole.submit(uid="req-000002", rungs=8)
         await whole.until(0, other, "done", 60)
-        assert whole.foreman() == first and whole.controllers[first].leadership.known_epoch() == 1
+        assert whole.leader() == first and whole.controllers[first].leadership.known_epoch() == 1
 
 
-async def test_a_foreman_that_no_worker_can_reach_gives_no_machine_up(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_leader_that_no_worker_can_reach_gives_no_machine_up(monkeypatch: pytest.MonkeyPatch) -> None:
     """Others carry the reports; that its own calls fail says nothing about the machines."""
     async with cluster(monkeypatch) as whole:
         uid = await whole.submit(shape="daemon", rungs=4)
         await whole.busy(uid)
         await trio.sleep(3)
-        first = whole.foreman()
+        first = whole.leader()
         host = f"10.0.0.{first + 1}"
         whole.net.cut_ports.add((host, 80))
         whole.net.cut_ports.update((worker.address, 90) for worker in whole.cloud.workers.values())
         await trio.sleep(60)
-        assert whole.foreman() == first
+        assert whole.leader() == first
         assert len(whole.starts(uid)) == 4 and sum(whole.on().values()) == 4
 
 
@@ -558,7 +558,7 @@
         assert sum(whole.on().values()) == 10
         away = [worker for worker in whole.cloud.workers.values() if worker.on()][::2]
         whole.net.cut.update(worker.address for worker in away)
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         await trio.sleep(7)
         whole.net.cut.difference_update(worker.address for worker in away)
         await trio.sleep(30)
--- a/ladderfield/test_grace.py
+++ b/ladderfield/test_grace.py
@@ -1,4 +1,4 @@
-"""How long a foreman without the state service keeps tasks alive: never so long that a cancellation which another
+"""How long a leader without the state service keeps tasks alive: never so long that a cancellation which another
 controller confirmed, and which it can't see, is carried out later than cancel_s after its user was told."""
 
 from __future__ import annotations
@@ -55,11 +55,11 @@
 
 @pytest.mark.parametrize("peers", ["none of them can be asked", "one of them is down", "all are up"])
 async def test_the_gap(monkeypatch: pytest.MonkeyPatch, peers: str) -> None:
-    """The state service refuses the foreman alone, another controller confirms a cancellation, then the state service
-    is down for all, for longer than cancel_s, while the workers report to the old foreman."""
+    """The state service refuses the leader alone, another controller confirms a cancellation, then the state service
+    is down for all, for longer than cancel_s, while the workers report to the old leader."""
     async with cluster(monkeypatch) as whole:
         doomed, steady = await replicas(whole)
-        first = whole.foreman()
+        first = whole.leader()
         other, third = (n for n in whole.controllers if n != first)
         refuse(whole, first)
         if peers == "none of them can be asked":
@@ -70,7 +70,7 @@
         whole.state.down = True
         if peers == "all are up":
             await trio.sleep(5)
-            assert not left(whole, doomed), "the foreman is told as it is confirmed"
+            assert not left(whole, doomed), "the leader is told as it is confirmed"
             await trio.sleep_until(confirmed + CANCEL_S + 2 * LEASE_S)
             assert len(left(whole, steady)) == 2 and len(whole.starts(steady)) == 2, "and the rest survives the outage"
         await trio.sleep_until(confirmed + CANCEL_S)
@@ -83,7 +83,7 @@
     """Who is down may have confirmed what nobody else knows. What is lost is started again afterwards, once."""
     async with cluster(monkeypatch) as whole:
         _, steady = await replicas(whole)
-        third = next(n for n in whole.controllers if n != whole.foreman())
+        third = next(n for n in whole.controllers if n != whole.leader())
         whole.state.down = True
         whole.crash(third)
         await trio.sleep(1)
@@ -114,7 +114,7 @@
 async def test_an_older_controller_is_not_asked_and_the_bound_holds(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
         doomed, _ = await replicas(whole)
-        first = whole.foreman()
+        first = whole.leader()
         other = next(n for n in whole.controllers if n != first)
         view = whole.controllers[first].view
         view.data[f"{VERSION}n{other}"] = ({"level": VOUCHING - 1}, 1)
@@ -139,7 +139,7 @@
     """The job's own record may come later than the word of its cancellation."""
     async with cluster(monkeypatch) as whole:
         await replicas(whole)
-        first = whole.foreman()
+        first = whole.leader()
         other = next(n for n in whole.controllers if n != first)
         await whole.controllers[other].links[f"n{first}"].ask(CANCELLED, b"req-000003", 1.0)
         whole.state.watch_lag = 0.5
@@ -171,9 +171,9 @@
     """What is on record may be confirmed as cancelled elsewhere by the time it would start."""
     async with cluster(monkeypatch) as whole:
         await replicas(whole)
-        foreman = whole.foreman()
+        leader = whole.leader()
         held: list[str] = []
-        sessions = "ladderfield.foreman.sessions.Sessions.orders"
+        sessions = "ladderfield.leader.sessions.Sessions.orders"
         with monkeypatch.context() as slow:
             slow.setattr(sessions, lambda self, machine, now, tick, may_start=True: [])
             later = await whole.submit(uid="req-000003", rungs=2)
@@ -182,13 +182,13 @@
                 held = [key for key, (value, _, _) in whole.state.keys.items() if "lf/p/" in key and later in value]
                 if held:
                     break
-            refuse(whole, foreman)
+            refuse(whole, leader)
             whole.state.down = True
             await trio.sleep(3)
         assert held, "its claims are on record"
         await trio.sleep(10)
         assert not whole.starts(later)
-        assert whole.foreman() == foreman, "while it goes on answering its workers"
+        assert whole.leader() == leader, "while it goes on answering its workers"
 
 
 def answer(lived_s: float = 100.0, proven_s: float = math.inf, epoch: int = 3, uids: bytes = b"") -> Answer:
@@ -236,11 +236,11 @@
 
 async def test_strange_questions_and_notices_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch) as whole:
-        one = whole.controllers[whole.foreman()]
+        one = whole.controllers[whole.leader()]
         for body in (b"", b"x" * (QUESTION.size + 1), b"\xff" * 70):
             assert (await one.handle_back(VOUCH, 0, body))[0] == 400
         for body in (b"req-1 \xff", b"lf/f/req-000001", b"req-"):
             assert (await one.handle_back(CANCELLED, 0, body))[0] == 400
         status, answered = await one.handle_back(VOUCH, 0, QUESTION.pack(2**64 - 1, 2**64 - 1))
         assert status == 200 and len(answered) == ANSWER.size
-        assert whole.foreman() in whole.controllers
+        assert whole.leader() in whole.controllers
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -1,4 +1,4 @@
-"""Standing still: a candidate and a foreman whose clocks ran on while they did nothing."""
+"""Standing still: a candidate and a leader whose clocks ran on while they did nothing."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 import trio
 
 from ladderfield.fleet.cloud import Cloud
-from ladderfield.foreman.actor import Foreman, Reported
 from ladderfield.jobs.chains import Chains
+from ladderfield.leader.actor import Leader, Reported
 from ladderfield.leadership import EPOCH, Leadership, Term
 from ladderfield.settings import StateLimits
 from ladderfield.state import Change, Outcome, StateClient, View
@@ -23,7 +23,7 @@
 async def test_a_candidate_that_stood_still_does_not_take_office(
     monkeypatch: pytest.MonkeyPatch, stood_still_s: float, elected: bool
 ) -> None:
-    """Its lease may be over, and it may have said meanwhile that it is not foreman: a successor counts on that."""
+    """Its lease may be over, and it may have said meanwhile that it is not leader: a successor counts on that."""
     client = StateClient(settings())
     leadership = Leadership(settings(), client, View(client, settings()))
 
@@ -44,9 +44,9 @@
     return Report("m", "10.9.0.1:90", "m4", "za", False, 1, tick, epoch, None, list[Rung]())
 
 
-async def test_a_foreman_that_stood_still_starts_nothing_and_answers_only_until_its_bound() -> None:
+async def test_a_leader_that_stood_still_starts_nothing_and_answers_only_until_its_bound() -> None:
     client = StateClient(settings())
-    foreman = Foreman(
+    leader = Leader(
         settings(),
         Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0),
         client,
@@ -54,21 +54,21 @@
         Cloud(settings()),
         Chains(lambda key: None),
     )
-    foreman._push = lambda now: None  # type: ignore[method-assign]
-    foreman.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
-    foreman.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
-    bound = foreman.term.known_at + foreman.term.grace
+    leader._push = lambda now: None  # type: ignore[method-assign]
+    leader.desk.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
+    leader.desk.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
+    bound = leader.term.known_at + leader.term.grace
     for now, answered, started in ((bound - 0.1, True, 0), (bound + 0.1, False, 0), (1.0, True, 1)):
         message = Reported(_report(int(1000 - now)), False)
-        foreman.desk.sessions.report(_report(int(2000 - now)), now, answering=False)
-        foreman._on_report(message, now)
+        leader.desk.sessions.report(_report(int(2000 - now)), now, answering=False)
+        leader._on_report(message, now)
         assert message.done.is_set() and (message.answer is not None) is answered
-        foreman._advance(now)
-        assert len(foreman.desk.machines["m"].claims) == started
+        leader._advance(now)
+        assert len(leader.desk.machines["m"].claims) == started
 
 
 async def test_the_epochs_record_fits_the_smaller_limit_whatever_controllers_are_called() -> None:
-    """Earlier foremen on it are a hint: they must never keep the epoch from being raised."""
+    """Earlier leaders on it are a hint: they must never keep the epoch from being raised."""
     own = settings()
     state = msgspec.convert({"rps": 100, "write_rps": 25, "value_kb": 2, "txn_ops": 5}, StateLimits)
     own = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, state=state))
--- a/ladderfield/test_versions.py
+++ b/ladderfield/test_versions.py
@@ -10,10 +10,10 @@
 import pytest
 import trio
 
-from ladderfield.foreman.test_desk import EPOCH_NOW, Stage, rung
 from ladderfield.http import Request
 from ladderfield.jobs.model import JobSpec
 from ladderfield.jobs.test_jobs import _door
+from ladderfield.leader.test_desk import EPOCH_NOW, Stage, rung
 from ladderfield.leadership import Leadership
 from ladderfield.peers import HEALTH, RELAY, SELF, pack, unpack_head
 from ladderfield.rollout import VERSION
@@ -49,14 +49,14 @@
     return {key: (msgspec.json.decode(value), 5) for key, value in raw.items()}
 
 
-def test_a_new_foreman_takes_over_claims_replicas_and_ends_of_an_old_one() -> None:
+def test_a_new_leader_takes_over_claims_replicas_and_ends_of_an_old_one() -> None:
     stage = Stage(old_data())
     array, service = stage.desk.jobs["req-000412"], stage.desk.jobs["req-000413"]
     assert array.finished == {0, 1, 4} and {claim.attempt & 0xFF for claim in array.claims.values()} == {2, 3}
     assert array.spec.needs is None and array.spec.deadline_s == 90.0 and not array.waits
     assert [claim.host for claim in service.claims.values()] == ["i-000003"]
     assert stage.desk.teams.cpus == {"red": 4.0, "blue": 4.0}
-    # A reap under way: the old foreman has recorded task 4 and not yet reaped it.
+    # A reap under way: the old leader has recorded task 4 and not yet reaped it.
     orders = stage.report(
         "i-000001", (rung(4, 25769803775, "exited", "done", "req-000412"), rung(2, 25769803778, uid="req-000412")),
         endpoint="10.1.0.2:9000",
@@ -169,7 +169,7 @@
         assert key.startswith(VERSION)
 
 
-def test_an_old_foreman_takes_over_what_a_new_one_leaves() -> None:
+def test_an_old_leader_takes_over_what_a_new_one_leaves() -> None:
     stage = Stage()
     stage.desk.pages.most = 1900
     stage.submit("req-000001", rungs=40, owner="blue")
@@ -227,7 +227,7 @@
         assert (magic, version, sent, length) == (b"lf", 2, kind, 2) and kind in (1, 3)
 
 
-def test_an_old_foreman_would_start_what_waits_so_only_a_record_of_the_roll_out_keeps_it_off() -> None:
+def test_an_old_leader_would_start_what_waits_so_only_a_record_of_the_roll_out_keeps_it_off() -> None:
     """Why the door asks the roll-out: to the old version such a record is a job like any other."""
     spec = msgspec.convert(job("req-000002", waitsOn=["req-000001"]), JobSpec)
     written = msgspec.to_builtins(spec)
@@ -235,8 +235,8 @@
     assert "dueS" not in written, "absent and null are the same to both, and the smaller records need the room"
 
 
-def test_foremen_change_between_versions_with_a_claim_made_by_each() -> None:
-    """An old foreman's attempts and a new one's on the same page: of each task the later counts."""
+def test_leaders_change_between_versions_with_a_claim_made_by_each() -> None:
+    """An old leader's attempts and a new one's on the same page: of each task the later counts."""
     data = old_data()
     page = msgspec.json.decode(PAGE_RECORD)
     page["req-000412"]["a"] = {"3": [(EPOCH_NOW - 2) << 32, "i-000001"]}
--- a/ladderfield/testing_cluster.py
+++ b/ladderfield/testing_cluster.py
@@ -69,10 +69,10 @@
         self.scopes[number].cancel()
         del self.controllers[number]
 
-    def foreman(self) -> int:
+    def leader(self) -> int:
         """Which controller takes reports now."""
         holders = [n for n, one in self.controllers.items() if one.reports.inbox is not None]
-        assert holders, "no foreman"
+        assert holders, "no leader"
         return max(holders, key=lambda n: self.controllers[n].leadership.term.epoch)  # type: ignore[union-attr]
 
     async def call(self, node: int, method: str, path: str, body: Any = None) -> tuple[int, dict[str, Any]]:
--- a/ladderfield/vouching.py
+++ b/ladderfield/vouching.py
@@ -1,7 +1,7 @@
-"""How a foreman that the state service does not serve keeps track of cancellations: the other controllers vouch.
+"""How a leader that the state service does not serve keeps track of cancellations: the other controllers vouch.
 
-Whichever controller a user asks confirms a cancellation, and the foreman sees it in the state service. If that refuses
-the foreman alone, or is down for everybody right after, the foreman would go on to answer its workers and keep tasks
+Whichever controller a user asks confirms a cancellation, and the leader sees it in the state service. If that refuses
+the leader alone, or is down for everybody right after, the leader would go on to answer its workers and keep tasks
 alive that were confirmed as cancelled. So its answers are bound to the moment up to which it surely knows every
 cancellation (``Term.known_at``), and this is how that moment moves on without the state service.
 
@@ -37,7 +37,7 @@
 
 QUESTION = struct.Struct("!QQ")
 ANSWER = struct.Struct("!Qdd")
-NOTICES = 64  # confirmed at once; what is more the foreman sees on record, or asks for
+NOTICES = 64  # confirmed at once; what is more the leader sees on record, or asks for
 
 
 class Strange(ValueError):
@@ -71,7 +71,7 @@
     answers = list(answers)
     heard = [answer for answer in answers if answer is not None]
     if any(answer.epoch > term.epoch for answer in heard):
-        return -math.inf  # another may be foreman, whose bound on us runs from its election
+        return -math.inf  # another may be leader, whose bound on us runs from its election
     known_at = max((answer.proven_at for answer in heard), default=-math.inf)
     if len(heard) == len(answers) and all(answer.began_at <= term.known_at for answer in heard):
         known_at = max(known_at, asked_at)
@@ -79,14 +79,14 @@
 
 
 class Vouching:
-    """Asks and answers, and tells the foreman of what was just confirmed here."""
+    """Asks and answers, and tells the leader of what was just confirmed here."""
 
     def __init__(
         self, leadership: Leadership, view: View, cancellations: Cancellations, links: Mapping[str, PeerLink]
     ) -> None:
         self.leadership, self.view, self.cancellations, self.links = leadership, view, cancellations, links
         self._notices, self._noticed = trio.open_memory_channel[str](NOTICES)
-        self.deliver: Callable[[list[str]], object] = lambda uids: None  # to the foreman of this very controller
+        self.deliver: Callable[[list[str]], object] = lambda uids: None  # to the leader of this very controller
         self._warned = False
         cancellations.told = self._confirmed
 
@@ -104,7 +104,7 @@
         return (200, answer) if len(answer) <= BODY_MOST else (503, b"")
 
     async def ask(self, term: Term, timeout: float) -> tuple[list[str], float]:
-        """What the foreman may not know, and up to when it knows everything once it has taken this in."""
+        """What the leader may not know, and up to when it knows everything once it has taken this in."""
         asked_at, ledger = trio.current_time(), self.view.ledger
         answers: dict[str, Answer | None] = dict.fromkeys(self.links)
 
@@ -134,10 +134,10 @@
         try:
             self._notices.send_nowait(uid)
         except trio.WouldBlock:
-            log.debug("job %s: the foreman is not told at once", uid)
+            log.debug("job %s: the leader is not told at once", uid)
 
     async def run_notices(self, timeout: float) -> None:
-        """Tell the foreman of each cancellation as it is confirmed. Nobody waits for this."""
+        """Tell the leader of each cancellation as it is confirmed. Nobody waits for this."""
         async for uid in self._noticed:
             uids = [uid]
             while self._noticed.statistics().current_buffer_used:
@@ -145,7 +145,7 @@
             if self.leadership.term is not None:
                 self.deliver(uids)
                 continue
-            member = self.leadership.known_foreman() or ""
+            member = self.leadership.known_leader() or ""
             link = self.links.get(member)
             if link is not None and link.reachable and level_of(self.view, member) >= VOUCHING:
                 await link.ask(CANCELLED, " ".join(uids).encode(), timeout)
--- a/ladderfield/workers/intake.py
+++ b/ladderfield/workers/intake.py
@@ -1,4 +1,4 @@
-"""Where reports come in, on every controller: the foreman's go to its inbox, others are sent or carried to it."""
+"""Where reports come in, on every controller: the leader's go to its inbox, others are sent or carried to it."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 import trio
 
-from ladderfield.foreman.actor import Reported
 from ladderfield.http import Reply, Request
+from ladderfield.leader.actor import Reported
 from ladderfield.leadership import Leadership
 from ladderfield.peers import RELAY, PeerLink
 from ladderfield.settings import Settings
@@ -19,8 +19,8 @@
 log = logging.getLogger(__name__)
 
 ANSWER_BY = 0.6  # of the time that a worker waits for its answer is ours
-RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the foreman itself again
-SUSPECT_FOR = 1.0  # of lease_s: the same for one of which it is only a guess that it can't reach the foreman
+RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the leader itself again
+SUSPECT_FOR = 1.0  # of lease_s: the same for one of which it is only a guess that it can't reach the leader
 REMEMBERED = 4096  # workers
 T = TypeVar("T")
 
@@ -31,8 +31,8 @@
     def __init__(self, settings: Settings, leadership: Leadership, links: dict[str, PeerLink]) -> None:
         self.leadership, self.links = leadership, links
         self.lease_s = settings.cluster.workers.lease_s
-        self.inbox: trio.MemorySendChannel[Any] | None = None  # set while this controller is foreman
-        self._sent_away: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the foreman
+        self.inbox: trio.MemorySendChannel[Any] | None = None  # set while this controller is leader
+        self._sent_away: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the leader
         self._carried: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
         self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # worker -> tenure and tick
         self._warned = False
@@ -51,19 +51,19 @@
                 log.warning("a malformed report was refused: %s", error)
             return Reply(400, {"error": str(error)})
         if self.inbox is not None:
-            return await self._ask_foreman(report, False)
-        foreman = self.leadership.known_foreman()
-        link = self.links.get(foreman or "")
+            return await self._ask_leader(report, False)
+        leader = self.leadership.known_leader()
+        link = self.links.get(leader or "")
         if link is None:
             return Reply(421, {})
         carry_for = None if self._copy(report) else self._cut_off(report, link, trio.current_time())
         if carry_for is None:
-            return Reply(421, {"foreman": foreman})
+            return Reply(421, {"foreman": leader})
         answer = await self._relay(link, request.body, 0)
         if answer is None or answer[0] != 200:
             return Reply(421, {})
         if carry_for:
-            # Only now: the foreman is there and answers us. While it is gone, everybody comes back from it.
+            # Only now: the leader is there and answers us. While it is gone, everybody comes back from it.
             self._note(self._carried, report.host, trio.current_time() + carry_for)
             self._sent_away.pop(report.host, None)
         reply = Reply(200)
@@ -80,10 +80,10 @@
         return False
 
     def _cut_off(self, report: Report, link: PeerLink, now: float) -> float | None:
-        """Whether the worker likely can't reach the foreman, so that its report is relayed: None if not, else for how
+        """Whether the worker likely can't reach the leader, so that its report is relayed: None if not, else for how
         long its next ones are to be relayed too if this one gets there.
 
-        It came back after it was sent there; or we can't reach the foreman ourselves; or it has taken the foreman's
+        It came back after it was sent there; or we can't reach the leader ourselves; or it has taken the leader's
         epoch already, so it was there and left. The last is only a guess, but to send it there at once would cost it
         another wait for nothing: two of them are more than a silent machine is given.
         """
@@ -100,7 +100,7 @@
         return None
 
     async def _relay(self, link: PeerLink, body: bytes, hops: int) -> tuple[int, bytes] | None:
-        """The foreman's answer, asked directly, or by way of another controller if we can't reach it."""
+        """The leader's answer, asked directly, or by way of another controller if we can't reach it."""
         timeout = ANSWER_S * ANSWER_BY / (1 + hops)
         if link.reachable or hops:
             return await link.ask(RELAY, body, timeout, hops + 1)
@@ -110,21 +110,21 @@
         return None
 
     async def relayed(self, body: bytes, hops: int) -> tuple[int, bytes]:
-        """A report that another controller carries to us: we are the foreman, or may reach it."""
+        """A report that another controller carries to us: we are the leader, or may reach it."""
         try:
             report = parse_report(body)
         except ValueError:
             return 400, b"{}"
         if self.inbox is not None:
-            reply = await self._ask_foreman(report, True)
+            reply = await self._ask_leader(report, True)
             return reply.status, reply.body
-        link = self.links.get(self.leadership.known_foreman() or "")
+        link = self.links.get(self.leadership.known_leader() or "")
         if link is not None and hops == 1:
             return await self._relay(link, body, hops) or (421, b"{}")
         return 421, b"{}"
 
-    def tell_foreman(self, message: object) -> bool:
-        """Put a message into the foreman's inbox; False if it is full, or we aren't foreman."""
+    def tell_leader(self, message: object) -> bool:
+        """Put a message into the leader's inbox; False if it is full, or we aren't leader."""
         if self.inbox is None:
             return False
         try:
@@ -133,9 +133,9 @@
             return False
         return True
 
-    async def _ask_foreman(self, report: Report, relayed: bool) -> Reply:
+    async def _ask_leader(self, report: Report, relayed: bool) -> Reply:
         message = Reported(report, relayed)
-        if not self.tell_foreman(message):
+        if not self.tell_leader(message):
             return Reply(503, {})
         with trio.move_on_after(ANSWER_S * ANSWER_BY):
             await message.done.wait()
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -1,4 +1,4 @@
-"""One machine as the foreman knows it."""
+"""One machine as the leader knows it."""
 
 from __future__ import annotations
 
@@ -193,7 +193,7 @@
         """When its lease is surely over.
 
         It runs from our last answer, or from the session's begin, which came before we last heard of it. Until
-        the machine has accepted our epoch, an earlier foreman may be answering it as well: until ``others_until``.
+        the machine has accepted our epoch, an earlier leader may be answering it as well: until ``others_until``.
         """
         last = max(term_from, self.answered_at or term_from, self.heard_at or term_from)
         if self.epoch != epoch:
--- a/ladderfield/workers/test_old_messages.py
+++ b/ladderfield/workers/test_old_messages.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from ladderfield.foreman.test_desk import ABOUT, EPOCH_NOW, Stage, rung
+from ladderfield.leader.test_desk import ABOUT, EPOCH_NOW, Stage, rung
 from ladderfield.testing import Worker, accepted, job
 from ladderfield.testing_cluster import Cluster, cluster
 from ladderfield.testing_looks import Looks
@@ -77,7 +77,7 @@
         await looks.crowd(ends, 0.1)
         await trio.sleep(2 * REPORT_S)
         carry_out()
-        first = whole.foreman()
+        first = whole.leader()
         whole.crash(first)
         while not any(one.reports.inbox is not None for one in whole.controllers.values()):
             await trio.sleep(0.05)
@@ -85,7 +85,7 @@
         whole.start(first)
         await trio.sleep(6)
         assert left < most, "it was met"
-        epoch = whole.controllers[whole.foreman()].leadership.known_epoch()
+        epoch = whole.controllers[whole.leader()].leadership.known_epoch()
         assert epoch <= 2 + (writer == "elections" and not late), "and ends no term"
         for uid, phase in ((steady, "running"), (ends, "done"), (off, "cancelled")):
             await looks.crowd(uid, 0.05, ("GET", "POST"))
@@ -130,7 +130,7 @@
         await trio.sleep(6 * REPORT_S)
         assert sum(whole.on().values()) == 3
         starts = len(whole.starts(uid)), len(whole.starts(warm))
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         if acted:
             await trio.sleep(4 * REPORT_S)
         else:
@@ -149,7 +149,7 @@
                 await trio.sleep(0.1)
         whole.net.cut.discard(worker.address)
         await trio.sleep(30)
-        assert whole.foreman() in whole.controllers
+        assert whole.leader() in whole.controllers
         assert (len(whole.starts(uid)), len(whole.starts(warm))) == starts
         assert sum(whole.on().values()) == 3
 
@@ -184,7 +184,7 @@
         await trio.sleep(0.3)
         assert (uid in str(worker.held)) == worker.hold or whole.starts(uid)
         whole.net.cut.add(worker.address)  # it hangs
-        whole.crash(whole.foreman())
+        whole.crash(whole.leader())
         left = next(iter(whole.controllers))
         if cancelled:
             await trio.sleep(1)
--- a/ladderfield/workers/test_workers.py
+++ b/ladderfield/workers/test_workers.py
@@ -7,7 +7,7 @@
 import trio
 
 from ladderfield.http import Request
-from ladderfield.leadership import EPOCH, FOREMAN, Leadership
+from ladderfield.leadership import EPOCH, LEADER, Leadership
 from ladderfield.peers import PeerLink
 from ladderfield.settings import Peer
 from ladderfield.state import StateClient, View
@@ -21,11 +21,11 @@
 }  # fmt: skip
 
 
-async def test_a_worker_is_sent_to_the_foreman_first_and_relayed_when_it_comes_back() -> None:
+async def test_a_worker_is_sent_to_the_leader_first_and_relayed_when_it_comes_back() -> None:
     own = settings(1)
     client = StateClient(own)
     view = View(client, own)
-    view.data = {FOREMAN: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
+    view.data = {LEADER: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
     link = PeerLink(Peer("n0", "10.0.0.1:81"))
     desk = ReportDesk(own, Leadership(own, client, view), {"n0": link})
     up, ticks = True, iter(range(100))
@@ -46,13 +46,13 @@
     assert await after(2, "i-1", 0) == "relayed", "came back"
     assert await after(50, "i-1", 0) == "relayed", "and stays relayed for some leases"
     assert await after(15, "i-1", 0) == "sent", "then it is sent there again"
-    assert await after(0, "i-2", 4) == "relayed", "has the foreman's epoch, so it was there and left"
+    assert await after(0, "i-2", 4) == "relayed", "has the leader's epoch, so it was there and left"
     assert await after(11, "i-2", 4) == "relayed", "a suspicion lasts a lease"
     assert await after(2, "i-2", 4) == "sent"
     assert await after(5, "i-2", 4) == "relayed", "came back: it is known now"
     assert await after(40, "i-2", 4) == "relayed"
     up = False
-    assert await after(0, "i-3", 4) == "next", "the foreman is gone: everybody comes back from it, which tells nothing"
+    assert await after(0, "i-3", 4) == "next", "the leader is gone: everybody comes back from it, which tells nothing"
     up = True
     assert await after(1, "i-3", 3) == "sent"
     link.reachable = False
@@ -72,7 +72,7 @@
     own = settings(1)
     client = StateClient(own)
     view = View(client, own)
-    view.data = {FOREMAN: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
+    view.data = {LEADER: ({"member": "n0"}, 1), EPOCH: ({"epoch": 4}, 1)}
     link = PeerLink(Peer("n0", "10.0.0.1:81"))
     desk = ReportDesk(own, Leadership(own, client, view), {"n0": link})
 
@@ -83,6 +83,6 @@
     body = msgspec.json.encode(RAW | {"host": "i-1", "tick": 9})
     for _ in range(3):
         reply = await desk(Request("POST", "/v1/report", body))
-        assert reply is not None and reply.status == 421, "a copy of what was sent to the foreman"
+        assert reply is not None and reply.status == 421, "a copy of what was sent to the leader"
     newer = await desk(Request("POST", "/v1/report", msgspec.json.encode(RAW | {"host": "i-1", "tick": 10})))
     assert newer is not None and newer.status == 200, "came back itself: relayed"
