--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -229,6 +229,7 @@
             and machine.recall_at is None
             and machine.kind.cpus
             and not (machine.mute and not desk.detector.mostly_mute)
+            and not (machine.heard_at is not None and desk.detector.away(machine, now))
         )
         jobs = [job for job in desk.jobs.values() if job.final is None and job.waiting > 0]
         jobs.sort(key=lambda job: (job.order, desk.outlook.rating(job, now), job.since))
@@ -298,10 +299,10 @@
         return job.spec.cpus * sum(max(run - ran, run / 4) for ran in begun)
 
     def _best(self, places: Places, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
-        """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
-        price with the time to boot."""
+        """The cheapest offer per task that the job allows and the cloud did not just refuse, where we can reach it;
+        ``soon`` weighs the price with the time to boot."""
         spec = places.spec
-        best: tuple[float, Offer] | None = None
+        best: tuple[bool, float, Offer] | None = None
         for kind in self.desk.types.values():
             if not fits(spec, kind):
                 continue
@@ -316,15 +317,20 @@
                     cost = (kind.spot_price if spot else kind.price) / max(1, min(full, need))
                     if soon:
                         cost *= kind.boot_s
-                    if best is None or (cost, offer) < best:
-                        best = (cost, offer)
-        return best[1] if best else None
+                    rated = (zone in self.desk.detector.cut, cost, offer)
+                    if best is None or rated < best:
+                        best = rated
+        return best[2] if best else None
 
     def returns(self, now: float) -> list[Machine]:
         """Idle machines that nothing foreseen needs: soon where there is far more room than was asked for lately,
         otherwise once they have idled for most of what it would cost to bring them back."""
         desk = self.desk
-        live = [one for one in desk.machines.values() if one.heard_at is not None and not one.deleting]
+        live = [
+            one
+            for one in desk.machines.values()
+            if one.heard_at is not None and not one.deleting and not desk.detector.away(one, now)
+        ]
         asked = sum(claim.job.spec.cpus for one in live for claim in one.claims.values())
         asked += sum(
             min(job.waiting, desk.teams.room(job.spec)) * job.spec.cpus
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ladderfield.queues.work import task_name
-from ladderfield.workers.machine import UNKNOWN, Machine
+from ladderfield.workers.machine import CLOCKS, UNKNOWN, Machine
 from ladderfield.workers.report import ANSWER_S, NEXT_S
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
         }
         self._mostly_silent = False
         self.mostly_mute = False  # then the fault is likely ours, and other machines would be no better off
-        self._cut: set[str] = set()
+        self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
         self._way = LATEST * desk.report_s + ANSWER_S + 2 * NEXT_S
         self._together = LOST_TOGETHER * desk.lease_s
@@ -67,19 +67,24 @@
                 count[1] += silent or detour or machine.deaf_since is not None
         self.mostly_mute = 2 * mute > len(desk.machines)
         self._mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(one for one, _ in known.values())
-        self._cut = {zone for zone, (every, silent) in known.items() if silent > 1 and silent * 2 >= every}
+        self.cut = {zone for zone, (every, silent) in known.items() if silent > 1 and silent * 2 >= every}
 
     def _patience(self, machine: Machine, now: float) -> float:
         """How long the machine may be silent."""
-        term_from, cut, alone = self.desk.term_from, machine.zone in self._cut, self.others_until <= now
+        desk, cut, alone = self.desk, machine.zone in self.cut, self.others_until <= now
+        term_from = desk.term_from
         # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
         # that is relayed is sent to us now and then, and waits there before it goes the other way.
         finding = machine.fresh_at is None
-        patience = LOST * self.desk.report_s
+        patience = LOST * desk.report_s
         if cut or (finding and not alone):
             patience = max(patience, self._together)
         elif finding or machine.relayed:
             patience = max(patience, self._way)
+        if cut and not machine.replicas:
+            # Guards against giving a whole zone up for a cut that heals: its tasks begin anew elsewhere once their
+            # lease is over, and to wait for the machine costs no more than to boot another.
+            patience = max(patience, desk.lease_s * CLOCKS + machine.kind.boot_s)
         if machine.up_at is None:
             # A leader before us may still be answering it; to delete what runs well would be our doing.
             until = self.others_until if self._mostly_silent else self.zones_before.get(machine.zone, 0.0)
@@ -88,6 +93,12 @@
                 patience = min(until, self.others_until) - term_from + (self._way if few else self._together)
         return patience
 
+    def away(self, machine: Machine, now: float) -> bool:
+        """Whether it has been silent for longer than a lease in a zone that is cut off: it may come back, but nothing
+        of it can be counted on."""
+        silent = machine.silent_for(now, self.desk.term_from)
+        return machine.zone in self.cut and silent > self.desk.lease_s * CLOCKS
+
     def well(self, machine: Machine, now: float) -> bool:
         """Whether a look at it tells already that nothing is to be decided: of hundreds nearly all are."""
         return (
