--- a/ladderfield/leader/test_size.py
+++ b/ladderfield/leader/test_size.py
@@ -64,7 +64,8 @@
 
 
 @pytest.mark.parametrize(
-    ("sockets", "peers", "machines"), [(1648, 4, 930), (1935, 2, 902), (1200, 2, 48), (1500, 2, 72)]
+    ("sockets", "peers", "machines"),
+    [(1648, 4, 930), (1935, 2, 902), (1200, 2, 48), (1500, 2, 72), (900, 4, 444)],
 )
 async def test_sockets_suffice_for_the_fleet_the_users_and_the_other_controllers(
     sockets: int, peers: int, machines: int
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -32,7 +32,7 @@
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
 RELAY, ANSWER, HEALTH, VOUCH, CANCELLED = 1, 2, 3, 4, 5
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be leader itself | highest epoch known, then its leader
-BACK_SHARE = 1 / 16  # of the sockets: what the others may open to us, and so we to them all together
+BACK_SHARE = 1 / 14  # of the sockets: what the others may open to us, and so we to them all together
 
 
 def back_most(max_connections: int) -> int:
