--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -299,10 +299,10 @@
         return job.spec.cpus * sum(max(run - ran, run / 4) for ran in begun)
 
     def _best(self, places: Places, need: int, kinds: tuple[bool, ...], now: float, soon: bool = False) -> Offer | None:
-        """The cheapest offer per task that the job allows and the cloud did not just refuse, where we can reach it;
-        ``soon`` weighs the price with the time to boot."""
+        """The cheapest offer per task that the job allows and the cloud did not just refuse; ``soon`` weighs the
+        price with the time to boot."""
         spec = places.spec
-        best: tuple[bool, float, Offer] | None = None
+        best: tuple[float, Offer] | None = None
         for kind in self.desk.types.values():
             if not fits(spec, kind):
                 continue
@@ -317,20 +317,15 @@
                     cost = (kind.spot_price if spot else kind.price) / max(1, min(full, need))
                     if soon:
                         cost *= kind.boot_s
-                    rated = (zone in self.desk.detector.cut, cost, offer)
-                    if best is None or rated < best:
-                        best = rated
-        return best[2] if best else None
+                    if best is None or (cost, offer) < best:
+                        best = (cost, offer)
+        return best[1] if best else None
 
     def returns(self, now: float) -> list[Machine]:
         """Idle machines that nothing foreseen needs: soon where there is far more room than was asked for lately,
         otherwise once they have idled for most of what it would cost to bring them back."""
         desk = self.desk
-        live = [
-            one
-            for one in desk.machines.values()
-            if one.heard_at is not None and not one.deleting and not desk.detector.away(one, now)
-        ]
+        live = [one for one in desk.machines.values() if one.heard_at is not None and not one.deleting]
         asked = sum(claim.job.spec.cpus for one in live for claim in one.claims.values())
         asked += sum(
             min(job.waiting, desk.teams.room(job.spec)) * job.spec.cpus
@@ -351,7 +346,9 @@
             for one in live
             if not one.spot and any(one.kind.fetch_s(gb) > slow for image, gb in one.cached.items() if image in wanted)
         }
-        for machine in sorted(live, key=lambda one: (one.spot, one in warm, -one.kind.price, one.host)):
+        away = {one for one in live if desk.detector.away(one, now)}  # of ample room these go first
+        order = sorted(live, key=lambda one: (one not in away, one.spot, one in warm, -one.kind.price, one.host))
+        for machine in order:
             if machine.claims or machine.idle_since is None or machine.host in self.keep:
                 continue
             again = machine.kind.boot_s + machine.kind.fetch_s(max(machine.cached.values(), default=0.0))
--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -106,3 +106,20 @@
     planner = Planner(stage.desk)
     assert {machine.host for machine in planner.returns(8.0)} == {"cold", "quick"}
     assert {machine.host for machine in planner.returns(40.0)} == {"cold", "quick", "warm"}
+
+
+def test_machines_in_a_zone_that_is_cut_off_are_no_room_and_are_returned_first() -> None:
+    asked = []
+    for reached in ("ayz", "a"):
+        stage = Stage()
+        for host in "ayz":
+            stage.report(host, yard="zb" if host in "yz" else "za", now=1.0)
+        for host in reached:
+            stage.report(host, yard="zb" if host in "yz" else "za", now=14.0)
+        stage.desk.sweep(14.0)
+        planner = Planner(stage.desk)
+        first = [machine.host for machine in planner.returns(14.0)][:2]
+        assert (first == ["y", "z"]) is ("y" not in reached)
+        stage.submit("req-000001", rungs=6, owner="blue", cores=4.0, shape="daemon")
+        asked.append(count(planner, 14.0))
+    assert asked[1] == asked[0] + 2
