--- a/ladderfield/jobs/cancellations.py
+++ b/ladderfield/jobs/cancellations.py
@@ -13,13 +13,12 @@
 from ladderfield.jobs.model import CANCELLED, FINAL
 from ladderfield.view import Change
 
-KEPT = 4096  # the latest; who needs older ones is told nothing
-
 
 class Cancellations:
     """Jobs that are cancelled on record, and by which revision."""
 
-    def __init__(self) -> None:
+    def __init__(self, kept: int) -> None:
+        self.kept = kept  # the latest; who needs older ones is told nothing
         self.began_at = trio.current_time()  # what this process confirmed since then is here
         self.told: Callable[[str], None] = lambda uid: None  # called at once with what is confirmed here
         self._stamps: dict[str, int] = {}
@@ -37,10 +36,10 @@
 
     def _add(self, uid: str, stamp: int) -> None:
         self._stamps[uid] = stamp
-        if len(self._stamps) > 2 * KEPT:
+        if len(self._stamps) > 2 * self.kept:
             latest = sorted(self._stamps.items(), key=lambda pair: pair[1])
-            self._floor = latest[-KEPT - 1][1]
-            self._stamps = dict(latest[-KEPT:])
+            self._floor = latest[-self.kept - 1][1]
+            self._stamps = dict(latest[-self.kept :])
 
     def after(self, ledger: int) -> list[str] | None:
         """Those that a view which has reached this revision may lack; None if that is no longer known."""
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -50,6 +50,7 @@
 INBOX_LEAST = 256  # messages
 ELECTION = 0.05  # of a leader's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
+IDLE_PASS_SHARE = 0.05  # the same after a pass that found nothing to claim, which costs a look at every machine
 TICK = 1 / 6  # of report_s
 BATCH = 1 / 3  # of report_s: how long finished tasks may wait to be recorded together
 
@@ -163,10 +164,10 @@
         # A pass is worth its time only when what it claims can be recorded at once, and as far as passes leave time for
         # all else: a flood of reports shares them.
         if self.scheduler.changed and not self.writer.busy and now >= self._pass_at and self.term.may_start(now):
-            self.scheduler.schedule(now)
+            claimed = self.scheduler.schedule(now)
             took = trio.current_time() - now
             now += took
-            self._pass_at = now + took * (1 / PASS_SHARE - 1)
+            self._pass_at = now + took * (1 / (PASS_SHARE if claimed else IDLE_PASS_SHARE) - 1)
         if not self.writer.busy:
             batch = now - self._recorded_at >= BATCH * self.report_s
             txn = self.ledger.collect(batch, self.client.leader_writes.level())
--- a/ladderfield/leader/cloud_tasks.py
+++ b/ladderfield/leader/cloud_tasks.py
@@ -7,7 +7,7 @@
 import trio
 
 from ladderfield.fleet.capacity import Rental
-from ladderfield.fleet.cloud import Cloud, CloudError, NoCapacityError
+from ladderfield.fleet.cloud import LIST_MOST, Cloud, CloudError, NoCapacityError
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.leader.messages import DeletionAnswered, MachinesListed, Message, RentalAnswered
 from ladderfield.leadership import EPOCH, Term
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 LIST_EVERY = 1.0  # of list_lag_s: a list is no fresher than that
+LIST_SHARE = 1 / 3  # of the cloud's calls: what lists may take, as rentals and the types need some too
 TYPES_EVERY = 20.0  # of report_s: prices move
 RETRY = 1 / 2  # of report_s: the pause after a rental or a deletion that failed
 
@@ -42,11 +43,14 @@
         """Tell the leader for ever which machines the cloud lists."""
         pause = max(LIST_EVERY * self.settings.cluster.cloud.list_lag_s, self.report_s)
         while True:
+            calls = 1
             try:
-                await self.inbox.send(MachinesListed(await self.cloud.list()))
+                hosts = await self.cloud.list()
+                calls += len(hosts) // LIST_MOST
+                await self.inbox.send(MachinesListed(hosts))
             except CloudError as error:
                 log.debug("list: %s", error)
-            await trio.sleep(pause)
+            await trio.sleep(max(pause, calls / (LIST_SHARE * self.cloud.budget.rate)))
 
     async def record_types(self) -> None:
         """Keep the types (and prices) in the state service, so that a cloud outage doesn't stop intake."""
--- a/ladderfield/leader/dispatcher.py
+++ b/ladderfield/leader/dispatcher.py
@@ -17,8 +17,7 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PUSHES = 64  # at once, at most
-PUSHES_SHARE = 1 / 24  # of the sockets: the same
+PUSHES_SHARE = 1 / 24  # of the sockets: pushes at once, at most
 KEPT_SHARE = 1 / 10  # of the sockets: connections to workers that are kept for the next push
 SLOW_SHARE = 0.5  # of the pushes: for machines that may not answer
 PUSH_TIMEOUT = 1.0  # of report_s: how long a push waits for its answer
@@ -35,7 +34,7 @@
         self.term, self.scheduler, self.inbox = term, scheduler, inbox
         self.report_s = settings.cluster.workers.report_s
         sockets = settings.cluster.quota.max_connections
-        self.most_pushes = max(2, min(MOST_PUSHES, int(sockets * PUSHES_SHARE)))
+        self.most_pushes = max(2, int(sockets * PUSHES_SHARE))
         self.most_kept = int(sockets * KEPT_SHARE)
         self._waiting: set[str] = set()
         self._under_way: dict[str, bool] = {}  # and whether the machine was silent then
--- a/ladderfield/leader/scheduler.py
+++ b/ladderfield/leader/scheduler.py
@@ -35,6 +35,7 @@
 from ladderfield.queues.pick import Queues, Tier, tiers
 from ladderfield.queues.work import Claim, Job, Record, Shape, Share, TaskId, task_name
 from ladderfield.settings import Settings
+from ladderfield.table_sizes import most_entries
 from ladderfield.teams import Teams
 from ladderfield.view import Change
 from ladderfield.workers.machine import UNKNOWN, Machine
@@ -47,7 +48,6 @@
 PAUSE_MOST = 10.0  # of report_s
 OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
 OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
-HEARD = 4096  # cancellations not seen on record yet
 AVOID = 20.0  # of report_s: how long a job's tasks go elsewhere, if anywhere else is room, once one failed on a machine
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
@@ -74,6 +74,7 @@
         self.gone: dict[str, None] = {}  # deleted machines: their late reports count for nothing
         self.teams = Teams(settings.cluster.teams)
         self.queues = Queues()
+        self.most_kept = most_entries(settings)  # of deleted machines, and of cancellations heard of
         self.types: dict[str, MachineType] = {}
         self.cancelled_at: dict[str, float] = {}
         self.heard: dict[str, float] = {}  # cancellations not seen on record yet, and since when
@@ -222,7 +223,7 @@
         if uid in self.heard or self.waiting.dependencies.cancelled(uid) or (job is not None and job.final is not None):
             return
         self.heard[uid] = since
-        while len(self.heard) > HEARD:
+        while len(self.heard) > self.most_kept:
             del self.heard[next(iter(self.heard))]
         if job is not None:
             self._cancel(job, since, now)
@@ -449,7 +450,7 @@
     def forget(self, host: str, now: float) -> None:
         """The machine is gone for good: its deletion was answered."""
         self.gone[host] = None
-        while len(self.gone) > 4096:
+        while len(self.gone) > self.most_kept:
             del self.gone[next(iter(self.gone))]
         machine = self.machines.get(host)
         if machine is None:
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -32,6 +32,7 @@
 from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, StateServiceError
+from ladderfield.table_sizes import most_entries
 from ladderfield.view import View
 from ladderfield.workers.report_handler import ReportHandler
 
@@ -53,7 +54,7 @@
         at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
         self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
         self.dependencies = DependencyGraph(self.view.get)
-        self.cancellations = Cancellations()
+        self.cancellations = Cancellations(most_entries(settings))
         self.view.followers += [self.dependencies.take, self.cancellations.take]
         self.rollout = Rollout(settings, self.client, self.view)
         self.jobs_api = JobsApi(
@@ -176,7 +177,7 @@
 
 async def _listen(text: str, serve: Callable[[trio.abc.Stream], Awaitable[None]], most: int) -> None:
     host, port = address(text)
-    listeners = await trio.open_tcp_listeners(port, host=host, backlog=min(most, 512))
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=most)
     await trio.serve_listeners(serve, listeners)
 
 
--- a/ladderfield/test_wire_format.py
+++ b/ladderfield/test_wire_format.py
@@ -245,7 +245,7 @@
     view.data = {f"{VERSION}{member}": ({"level": 2}, 1) for member in ("n1", "n2")}
     view.data |= {LEADER: ({"member": "n1"}, 2), EPOCH: ({"epoch": 6}, 3)}
     view.synced, view.ledger, view.proven_at = True, 17, trio.current_time()
-    cancellations, link = Cancellations(), PeerLink(Peer("n1", "10.0.0.2:81"))
+    cancellations, link = Cancellations(100), PeerLink(Peer("n1", "10.0.0.2:81"))
     sync = CancellationSync(Leadership(own, client, view), view, cancellations, {"n1": link})
 
     async def ask(kind: int, body: bytes, timeout: float, status: int = 0) -> tuple[int, bytes] | None:
--- a/ladderfield/testing/jobs_api.py
+++ b/ladderfield/testing/jobs_api.py
@@ -28,7 +28,7 @@
     nursery.start_soon(view.run_reads)
     dependencies, rollout = DependencyGraph(view.get), Rollout(settings(), client, view)
     view.followers.append(dependencies.take)
-    api = JobsApi(settings(), client, view, dependencies, rollout, Cancellations())
+    api = JobsApi(settings(), client, view, dependencies, rollout, Cancellations(100))
     nursery.start_soon(api.submissions.acceptor.run)
     await trio.sleep(0.1)
     return api, service
--- a/ladderfield/workers/report_handler.py
+++ b/ladderfield/workers/report_handler.py
@@ -14,6 +14,7 @@
 from ladderfield.leadership import Leadership
 from ladderfield.peers import RELAY, PeerAnswer, PeerLink
 from ladderfield.settings import Settings
+from ladderfield.table_sizes import most_entries
 from ladderfield.workers.report import ANSWER_S, Report, parse_report
 
 log = logging.getLogger(__name__)
@@ -21,7 +22,6 @@
 ANSWER_SHARE = 0.6  # of the time that a worker waits for its answer is ours
 RELAY_FOR = 5.0  # of lease_s: then a relayed worker is sent to the leader itself again
 SUSPECT_FOR = 1.0  # of lease_s: the same for one of which it is only a guess that it can't reach the leader
-MOST_REMEMBERED = 4096  # workers
 Value = TypeVar("Value")
 
 
@@ -35,6 +35,7 @@
         self._redirected_at: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the leader
         self._relayed_until: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
         self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # worker -> tenure and tick
+        self._most_remembered = most_entries(settings)  # workers
         self._warned = False
 
     async def __call__(self, request: Request) -> Reply | None:
@@ -64,7 +65,7 @@
             return Reply(421, {})
         if relay_for:
             # Only now: the leader is there and answers us. While it is gone, everybody comes back from it.
-            _remember(self._relayed_until, report.host, trio.current_time() + relay_for)
+            self._remember(self._relayed_until, report.host, trio.current_time() + relay_for)
             self._redirected_at.pop(report.host, None)
         reply = Reply(200)
         reply.body = answer.body
@@ -78,7 +79,7 @@
         order = (report.tenure, report.tick)
         if order <= self._newest.get(report.host, (-1, -1)):
             return True
-        _remember(self._newest, report.host, order)
+        self._remember(self._newest, report.host, order)
         return False
 
     def _relay_for(self, report: Report, link: PeerLink, now: float) -> float | None:
@@ -99,7 +100,7 @@
         lately = now - self._relayed_until.get(host, -math.inf) < self.lease_s  # then it is sent there, to see
         if report.epoch == self.leadership.known_epoch() and not lately:
             return SUSPECT_FOR * self.lease_s
-        _remember(self._redirected_at, host, now)
+        self._remember(self._redirected_at, host, now)
         return None
 
     async def _relay(self, link: PeerLink, body: bytes, hops: int) -> PeerAnswer | None:
@@ -145,10 +146,9 @@
             return Reply(421, {}) if answer is None else Reply(200, answer)
         return Reply(503, {})
 
-
-def _remember(table: OrderedDict[str, Value], host: str, value: Value) -> None:
-    """Keep a worker's value; the one noted first goes when there are too many."""
-    table[host] = value
-    table.move_to_end(host)
-    if len(table) > MOST_REMEMBERED:
-        table.popitem(last=False)
+    def _remember(self, table: OrderedDict[str, Value], host: str, value: Value) -> None:
+        """Keep a worker's value; the one noted first goes when there are too many."""
+        table[host] = value
+        table.move_to_end(host)
+        if len(table) > self._most_remembered:
+            table.popitem(last=False)
