--- a/ladderfield/cli.py
+++ b/ladderfield/cli.py
@@ -12,6 +12,7 @@
 
 from ladderfield import __version__
 from ladderfield.settings import SettingsError, load
+from ladderfield.zones import options
 
 
 @click.group(context_settings={"auto_envvar_prefix": "LADDERFIELD"})
@@ -35,7 +36,46 @@
     type=click.Choice(["error", "warning", "info", "debug"], case_sensitive=False),
     help="How much to write to standard error.",
 )
-def serve(config: Path, log_level: str) -> None:
+@click.option(
+    options.ORDER,
+    help="Order in which priorities return to a zone that was lost, as production,urgent+standard,best_effort. "
+    "Turns the order of returns on.",
+)
+@click.option(
+    options.ZONE_ORDER,
+    "zone_orders",
+    nargs=2,
+    multiple=True,
+    metavar="ZONE ORDER",
+    help="Another order for one zone.",
+)
+@click.option(
+    options.PROBATION,
+    type=float,
+    metavar="SECONDS",
+    help="How long a zone that comes back has to be steady before batch work returns.  [default: 4 report intervals]",
+)
+@click.option(
+    options.WINDOW,
+    "zone_windows",
+    nargs=4,
+    multiple=True,
+    metavar="NAME DAYS FROM TO",
+    help="A window in which the probation is twice as long, as billing mon,tue 06:00 09:00. "
+    "Days: daily, mon to sun, dates, monday-after-holiday.",
+)
+@click.option(options.TIME_ZONE, metavar="NAME", help="Time zone of the windows, as Asia/Kuala_Lumpur.")
+@click.option(options.HOLIDAYS, metavar="COUNTRY", help="Whose public holidays count, as MY or MY-10.")
+def serve(
+    config: Path,
+    log_level: str,
+    zone_order: str | None,
+    zone_orders: tuple[tuple[str, str], ...],
+    zone_probation: float | None,
+    zone_windows: tuple[tuple[str, str, str, str], ...],
+    zone_time_zone: str | None,
+    zone_holidays: str | None,
+) -> None:
     """Run one controller until it is killed."""
     logging.basicConfig(
         stream=sys.stderr,
@@ -44,7 +84,9 @@
     )
     try:
         settings = load(config)
-    except SettingsError as error:
+        flags = options.ZoneFlags(zone_order, zone_orders, zone_probation, zone_windows, zone_time_zone, zone_holidays)
+        zone_options = options.check(flags, settings.cluster.zones, settings.cluster.clock_off_ms / 1000)
+    except (SettingsError, options.ZoneOptionError) as error:
         click.echo(f"ladderfield: {error}", err=True)
         raise SystemExit(2) from None
     from ladderfield.server import serve as run  # the settings are checked before the slow imports
@@ -52,4 +94,4 @@
     # What exists now lives as long as the process: no later collection should walk it again.
     gc.collect()
     gc.freeze()
-    trio.run(run, settings)
+    trio.run(run, settings, zone_options)
--- a/ladderfield/fleet/capacity.py
+++ b/ladderfield/fleet/capacity.py
@@ -123,9 +123,9 @@
         return placed
 
 
-def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
-    """How many tasks fit into so much room."""
-    most = spec.tasks
+def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, most: int | None = None) -> int:
+    """How many tasks fit into so much room; of one job, unless ``most`` says otherwise."""
+    most = spec.tasks if most is None else most
     for need, room in ((spec.cpus, cpus), (spec.gpus, gpus), (spec.memory_gb, memory_gb)):
         if need > 0:
             most = min(most, int((room + SLACK) / need))
--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -135,6 +135,8 @@
             for zone in kind.zones:
                 if spec.zone not in (None, zone) or places.left(zone) <= 0:
                     continue
+                if not self.scheduler.zones.rents_in(zone, spec, now):
+                    continue
                 for spot in kinds:
                     offer = Offer(kind.name, zone, spot)
                     if (spot and not spec.spot) or self.refused.get(offer, (-math.inf, 0.0))[0] > now:
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -22,6 +22,7 @@
 from ladderfield.leader.ledger import Ledger
 from ladderfield.leader.messages import (
     CancellationsLearned,
+    ControllersChecked,
     DeletionAnswered,
     KeysChanged,
     MachinesListed,
@@ -43,6 +44,7 @@
 from ladderfield.workers.machine import Machine
 from ladderfield.workers.orders import Order, ReportAnswer
 from ladderfield.workers.report import Report
+from ladderfield.zones.options import ZoneOptions
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +68,7 @@
         view: View,
         cloud: Cloud,
         dependencies: DependencyGraph,
+        zone_options: ZoneOptions | None = None,
     ) -> None:
         self.term, self.client, self.view = term, client, view
         workers = settings.cluster.workers
@@ -76,7 +79,7 @@
         self.inbox_size = max(INBOX_LEAST, int(settings.cluster.quota.max_connections * INBOX_SHARE))
         self.send, self.inbox = trio.open_memory_channel[Message](self.inbox_size)
         self.scheduler = Scheduler(
-            settings, term.epoch, trio.current_time(), time.time(), grace, dependencies, term.before
+            settings, term.epoch, trio.current_time(), time.time(), grace, dependencies, term.before, zone_options
         )
         self.ledger = Ledger(self.scheduler, term.stamp, settings.cluster.state.txn_ops)
         self.dispatcher = Dispatcher(settings, term, self.scheduler, self.send)
@@ -96,6 +99,7 @@
             DeletionAnswered: self.fleet.on_deletion_answered,
             CancellationsLearned: self._on_cancellations_learned,
             NoOtherLeader: self._on_no_other_leader,
+            ControllersChecked: self._on_controllers_checked,
             Tick: self._on_tick,
         }
 
@@ -260,6 +264,9 @@
     def _on_no_other_leader(self, message: NoOtherLeader, now: float) -> None:
         self.scheduler.detector.no_other_leader(now)
 
+    def _on_controllers_checked(self, message: ControllersChecked, now: float) -> None:
+        self.scheduler.zones.controllers_checked(message.reachable)
+
     def _on_tick(self, message: Tick, now: float) -> None:
         doomed = self.scheduler.sweep(now)
         for machine in self.scheduler.machines.values():
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -10,6 +10,7 @@
 from ladderfield.queues.work import task_name
 from ladderfield.workers.machine import CLOCKS, UNKNOWN, Machine
 from ladderfield.workers.report import ANSWER_S, NEXT_S
+from ladderfield.zones.evidence import ZoneCounts
 
 if TYPE_CHECKING:
     from ladderfield.leader.scheduler import Scheduler
@@ -41,6 +42,7 @@
         }
         self._mostly_silent = False
         self.mostly_mute = False  # then the fault is likely ours, and other machines would be no better off
+        self.zones: dict[str, ZoneCounts] = {}
         self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
         self._way = LATEST * scheduler.report_s + ANSWER_S + 2 * NEXT_S
@@ -58,7 +60,7 @@
         At least half of the machines there, and more than one, are silent, or have lately begun to come by way of
         another controller. Then those that are silent are likely on such a way, or would be if there were one.
         """
-        scheduler, known, mute = self.scheduler, dict[str, list[int]](), 0
+        scheduler, known, mute = self.scheduler, dict[str, ZoneCounts](), 0
         for machine in scheduler.machines.values():
             # Guards work against machines that can't reach any controller while our commands reach them: their lease
             # runs out, and with it ends all that would be begun there.
@@ -66,14 +68,28 @@
             machine.mute = came_at is not None and now - came_at > self._way
             mute += machine.mute
             if machine.heard_at is not None or machine.claims:
-                count = known.setdefault(machine.zone, [0, 0])
-                count[0] += 1
-                silent = machine.silent_for(now, scheduler.term_from) > SILENT * scheduler.report_s
-                detour = machine.relayed and now - machine.detour_at < DETOURS * scheduler.lease_s
-                count[1] += silent or detour or machine.deaf_since is not None
+                self._count(known.setdefault(machine.zone, ZoneCounts()), machine, now)
         self.mostly_mute = 2 * mute > len(scheduler.machines)
-        self._mostly_silent = 2 * sum(silent for _, silent in known.values()) > sum(one for one, _ in known.values())
-        self.cut = {zone for zone, (every, silent) in known.items() if silent > 1 and silent * 2 >= every}
+        counts = known.values()
+        self._mostly_silent = 2 * sum(one.impaired for one in counts) > sum(one.machines for one in counts)
+        self.cut = {zone for zone, one in known.items() if one.impaired > 1 and one.impaired * 2 >= one.machines}
+        self.zones = known
+
+    def _count(self, zone: ZoneCounts, machine: Machine, now: float) -> None:
+        """Count a machine for its zone."""
+        scheduler = self.scheduler
+        zone.machines += 1
+        silent = machine.silent_for(now, scheduler.term_from) > SILENT * scheduler.report_s
+        detour = machine.relayed and now - machine.detour_at < DETOURS * scheduler.lease_s
+        zone.impaired += silent or detour or machine.deaf_since is not None
+        if silent:
+            zone.unheard += 1
+            zone.lapsed += now > self.lease_over_at(machine)
+
+    def lease_over_at(self, machine: Machine) -> float:
+        """When the machine's lease is surely over."""
+        scheduler = self.scheduler
+        return machine.lease_over_at(scheduler.epoch, scheduler.term_from, self.others_until, scheduler.lease_s)
 
     def _patience(self, machine: Machine, now: float) -> float:
         """How long the machine may be silent."""
--- a/ladderfield/leader/ledger.py
+++ b/ladderfield/leader/ledger.py
@@ -15,6 +15,7 @@
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leadership import EPOCH
 from ladderfield.queues.work import Claim, Job, Record
+from ladderfield.zones.record import ZoneRecord
 
 log = logging.getLogger(__name__)
 
@@ -25,7 +26,7 @@
 class Transaction:
     """One transaction, and what it will have recorded."""
 
-    __slots__ = ("deletes", "ended", "finals", "guards", "most", "moved", "pages", "puts", "size")
+    __slots__ = ("deletes", "ended", "finals", "guards", "most", "moved", "pages", "puts", "size", "zones")
 
     def __init__(self, epoch_stamp: int, most: int) -> None:
         self.most = most
@@ -36,6 +37,7 @@
         self.moved: list[tuple[Page, list[Claim], dict[Job, set[int]]]] = []  # from pages that are too large
         self.finals: dict[Job, str] = {}  # jobs whose final state is decided here
         self.ended: list[Record] = []  # records that are deleted here
+        self.zones: ZoneRecord | None = None  # written here
         self.size = 0
 
     @property
@@ -106,6 +108,18 @@
                 self._write(txn, page)
         if txn.left > 0 and txn.most == self.most:
             self._move(txn)
+        self._write_zones(txn)
+
+    def _write_zones(self, txn: Transaction) -> None:
+        """What a successor should know of zones; last of all, and only after a change."""
+        record = self.scheduler.zones.record
+        if record is None or not record.dirty or txn.left < 1 or txn.size + record.size() > BYTES:
+            return
+        txn.guards[record.key] = record.stamp
+        txn.puts[record.key] = record.value()
+        txn.size += record.size()
+        txn.zones = record
+        record.dirty = False
 
     @staticmethod
     def _decide(txn: Transaction, job: Job, value: dict[str, Any]) -> None:
@@ -203,6 +217,8 @@
             scheduler.decided(job, phase, now)
         for record in txn.ended:
             scheduler.spent.pop(record, None)
+        if txn.zones is not None:
+            txn.zones.stamp = ledger
 
     def restamp(self, txn: Transaction, stamps: dict[str, int]) -> None:
         """Take the versions on record and write again, with what is known now.
@@ -222,6 +238,9 @@
             record.stamp = stamps.get(record.key, record.stamp)
             if record.stamp == 0:
                 self.scheduler.spent.pop(record, None)
+        if txn.zones is not None:
+            txn.zones.stamp = stamps.get(txn.zones.key, txn.zones.stamp)
+            txn.zones.dirty = True
 
     def refused(self, txn: Transaction) -> None:
         """Put together anew, and smaller, what the state service will never take.
--- a/ladderfield/leader/messages.py
+++ b/ladderfield/leader/messages.py
@@ -111,6 +111,12 @@
     """Every other controller has said, since our term began, that it is not leader."""
 
 
+class ControllersChecked(msgspec.Struct, frozen=True, eq=False):
+    """Whether any controller of each zone answered when all were last asked."""
+
+    reachable: dict[str, bool]
+
+
 class Tick(msgspec.Struct, frozen=True, eq=False):
     """Time passes."""
 
@@ -126,5 +132,6 @@
     | DeletionAnswered
     | CancellationsLearned
     | NoOtherLeader
+    | ControllersChecked
     | Tick
 )
--- a/ladderfield/leader/preemption.py
+++ b/ladderfield/leader/preemption.py
@@ -9,7 +9,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ladderfield.queues.pick import locality, placeable, victims
 from ladderfield.queues.work import Claim, Job, Shape, task_name
@@ -25,6 +25,14 @@
 FETCH = 2.0  # a second of a replica's fetch is worth so many seconds of work of lower rank
 
 
+class Clearance(NamedTuple):
+    """Room that could be cleared on a machine, and what that would lose."""
+
+    lost_cpu_s: float
+    host: str
+    claims: list[Claim]
+
+
 class Preemption:
     """Stops work on the scheduler's tables, and remembers for whom."""
 
@@ -118,32 +126,39 @@
         """Clear room for up to so many tasks of a job, where the least is lost; the claims that were stopped."""
         scheduler, stopped = self.scheduler, list[Claim]()
         while most > sum(1 for until in job.held.values() if until > now) and scheduler.teams.room(job.spec):
-            best: tuple[float, str, list[Claim]] | None = None
-            for machine in machines:
-                if now < machine.hold_until or not placeable(job, machine):
-                    continue
-                lower = {
-                    claim: self._loss(claim, now)
-                    for claim in machine.claims.values()
-                    if claim.stopping is None and gives_way(claim)
-                }
-                chosen = victims(machine, job.spec, lower)
-                if chosen is None:
-                    continue
-                lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
-                if not locality(job, machine):
-                    lost += fetch * machine.kind.fetch_s(job.spec.image_gb) * job.spec.cpus
-                if best is None or (lost, machine.host) < best[:2]:
-                    best = (lost, machine.host, chosen)
-            if best is None or not best[2]:
+            clearances = (self._clearance(job, machine, gives_way, fetch, now) for machine in machines)
+            best = min((one for one in clearances if one is not None), key=lambda one: one[:2], default=None)
+            if best is None or not best.claims:
                 break
-            machine = scheduler.machines[best[1]]
-            job.held[machine.host] = machine.hold_until = now + HOLD * scheduler.report_s
-            machine.hold_rank = job.order[0]
-            log.info("job %s: %d tasks on %s give way", job.uid, len(best[2]), machine.host)
-            for claim in best[2]:
+            self._hold(job, scheduler.machines[best.host], now)
+            log.info("job %s: %d tasks on %s give way", job.uid, len(best.claims), best.host)
+            for claim in best.claims:
                 scheduler.stop(claim, "preempted", now)
-            stopped += best[2]
+            stopped += best.claims
             if once:
                 break
         return stopped
+
+    def _clearance(
+        self, job: Job, machine: Machine, gives_way: Callable[[Claim], bool], fetch: float, now: float
+    ) -> Clearance | None:
+        """What would have to stop on a machine so that one task of the job fits; None if that can't make room."""
+        if now < machine.hold_until or not placeable(job, machine) or not self.scheduler.zones.admits(machine, job):
+            return None
+        lower = {
+            claim: self._loss(claim, now)
+            for claim in machine.claims.values()
+            if claim.stopping is None and gives_way(claim)
+        }
+        chosen = victims(machine, job.spec, lower)
+        if chosen is None:
+            return None
+        lost = sum(lower[claim] * claim.job.spec.cpus for claim in chosen)
+        if not locality(job, machine):
+            lost += fetch * machine.kind.fetch_s(job.spec.image_gb) * job.spec.cpus
+        return Clearance(lost, machine.host, chosen)
+
+    def _hold(self, job: Job, machine: Machine, now: float) -> None:
+        """Keep the cleared room for the job for a while."""
+        job.held[machine.host] = machine.hold_until = now + HOLD * self.scheduler.report_s
+        machine.hold_rank = job.order[0]
--- a/ladderfield/leader/scheduler.py
+++ b/ladderfield/leader/scheduler.py
@@ -39,6 +39,10 @@
 from ladderfield.teams import Teams
 from ladderfield.view import Change
 from ladderfield.workers.machine import UNKNOWN, Machine
+from ladderfield.zones.coordinator import ZoneCoordinator
+from ladderfield.zones.options import ZoneOptions
+from ladderfield.zones.policy import ZonePolicy
+from ladderfield.zones.record import ZONES
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +68,7 @@
         grace_s: float,
         dependencies: DependencyGraph,
         before: Mapping[str, float] | None = None,
+        zone_options: ZoneOptions | None = None,
     ) -> None:
         workers = settings.cluster.workers
         self.settings, self.epoch, self.term_from = settings, epoch, now
@@ -93,6 +98,7 @@
         self.sessions = Sessions(self)
         self.detector = FailureDetector(self, now + grace_s, before or {}, wall - now)
         self.preemption = Preemption(self)
+        self.zones = ZonePolicy() if zone_options is None else ZoneCoordinator(self, zone_options)
         self.push: Callable[[Machine], None] = lambda machine: None
 
     # -- what is on record -------------------------------------------------------------------------------------
@@ -117,6 +123,8 @@
         for job in list(self.jobs.values()):
             job.told = job.final is not None
             self._see_end(job)
+        zones, zones_stamp = data.get(ZONES) or (None, 0)
+        self.zones.load(zones, zones_stamp, now)
 
     def _load_page(self, page: Page, value: dict[str, Any], claims: dict[TaskId, Claim]) -> None:
         """Ends of tasks at once; of the claims the latest of each task is gathered."""
@@ -267,6 +275,7 @@
         job.bind(claim)
         self.unrecorded[claim] = None
         machine.take(claim)
+        self.zones.claimed(claim, machine)
         self.teams.add(job.spec)
         log.debug("task %s: attempt %d claimed for %s", task_name(claim.task), claim.attempt, machine.host)
         return claim
@@ -276,6 +285,7 @@
         job = claim.job
         machine = self.machines[claim.host]
         machine.free(claim, now)
+        self.zones.ended(claim, machine, done, now)
         if claim.helped is not None:
             self.queues.helped(claim.helped, claim.host, -1)
         if claim.share is not None:
@@ -328,13 +338,14 @@
         ready = tiers(self.jobs.values(), self.teams, lambda job: self.estimates.rating(job, now), now)
         if not ready:
             return 0
-        ready = self._old_first(ready, machines, now)
+        ready = self._old_first(self.zones.order_tiers(ready), machines, now)
         self.queues.begin(machines)
         self.preemption.begin(now)
+        self.zones.begin_pass(machines, now)
         free = [machine for machine in machines if machine.cpus > 0]
         # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
         # dear and the empty run dry and can be returned.
-        free.sort(key=lambda one: (not one.spot, not one.keeps_up, one.kind.price, one.cpus / one.kind.cpus, one.host))
+        free.sort(key=self._turn)
         prompt = self._prompt(machines, now)
         made = sum(self._schedule_tier(tier, free, machines, prompt, now) for tier in ready)
         self.queues.rest()
@@ -342,6 +353,12 @@
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
 
+    def _turn(self, machine: Machine) -> tuple[bool, bool, bool, float, float, str]:
+        """Which machine asks first."""
+        used = machine.cpus / machine.kind.cpus
+        on_trial = self.zones.asks_last(machine)
+        return on_trial, not machine.spot, not machine.keeps_up, machine.kind.price, used, machine.host
+
     def _prompt(self, machines: list[Machine], now: float) -> set[Machine]:
         """Machines that miss no report, so that replicas may be put there."""
         # After a takeover everybody is late, as workers first have to find the new leader.
@@ -359,7 +376,7 @@
                 for job in tier.jobs:
                     self.preemption.for_replicas(job, prompt, now)
                 # A replica whose image has to be fetched starts soonest where that goes quickest.
-                asking.sort(key=lambda one: -one.kind.fetch_gb_per_s)
+                asking.sort(key=lambda one: (self.zones.asks_last(one), -one.kind.fetch_gb_per_s))
             for machine in asking:
                 if now >= machine.hold_until or tier.rank <= machine.hold_rank:
                     made += self._fill(machine, tier, score, now)
@@ -407,7 +424,7 @@
             return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
 
         def may_go(job: Job) -> bool:
-            if job.failed_hosts.get(machine.host, now) > now:
+            if job.failed_hosts.get(machine.host, now) > now or not self.zones.admits(machine, job):
                 return False
             return score == 1 or self.preemption.may_go_to(job, machine, now)
 
@@ -458,6 +475,7 @@
         self.queues.withdraw(machine)
         for claim in list(machine.claims.values()):
             self.end(claim, False, now)
+        self.zones.forgotten(machine, machine.silent_for(now, self.term_from) > SILENT * self.report_s, now)
         del self.machines[host]
         self.changed = True
         log.info("machine %s: deleted", host)
@@ -465,6 +483,7 @@
     def sweep(self, now: float) -> list[str]:
         """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
         self.detector.look(now)
+        self.zones.observe(self.detector.zones, now)
         suspect = [machine for machine in self.machines.values() if not self.detector.well(machine, now)]
         for machine in suspect:
             self._check_suspect(machine, now)
@@ -478,9 +497,7 @@
 
     def _check_suspect(self, machine: Machine, now: float) -> None:
         """End what a machine's lease no longer covers, and give the machine up where that is due."""
-        if machine.claims and now > machine.lease_over_at(
-            self.epoch, self.term_from, self.detector.others_until, self.lease_s
-        ):
+        if machine.claims and now > self.detector.lease_over_at(machine):
             log.warning("machine %s: its lease is over, %d claims end", machine.host, len(machine.claims))
             self.queues.withdraw(machine)
             for claim in list(machine.claims.values()):
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -56,6 +56,8 @@
         accepted = report.epoch == self.scheduler.epoch
         self._note_sign_of_life(machine, accepted, now)
         if report.tenure > machine.tenure:
+            if heard_before is not None:
+                self.scheduler.zones.restarted(machine)
             machine.doubts.clear()  # orders of an earlier session are refused from now on
             recently = heard_before is not None and now - heard_before < self.scheduler.lease_s / 2
             if recently and answered_before is not None:
@@ -164,10 +166,12 @@
         if (claim.phase is None and not claim.inherited) or (claim.stopping and rung.phase in ("flushing", "exited")):
             machine.heeds()  # a launch or a stop of ours shows
         claim.sent_tenure = machine.tenure
-        claim.inherited = False
+        inherited, claim.inherited = claim.inherited, False
         if rung.phase != "exited":
             if rung.phase == "running" and claim.phase != "running":
                 claim.running_at = now
+                if not inherited:
+                    scheduler.zones.runs(claim, machine, now)
                 log.debug("task %s: attempt %d runs on %s", task_name(claim.task), claim.attempt, machine.host)
                 machine.use_image(job.spec.image, job.spec.image_gb)
             claim.phase = rung.phase
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -17,7 +17,7 @@
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.jobs.responses import SUBMIT_S
 from ladderfield.leader.actor import Leader
-from ladderfield.leader.messages import CancellationsLearned, NoOtherLeader
+from ladderfield.leader.messages import CancellationsLearned, ControllersChecked, NoOtherLeader
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import (
     CANCELLATION_NOTICE,
@@ -35,6 +35,7 @@
 from ladderfield.table_sizes import most_entries
 from ladderfield.view import View
 from ladderfield.workers.report_handler import ReportHandler
+from ladderfield.zones.options import ZoneOptions
 
 log = logging.getLogger(__name__)
 
@@ -45,8 +46,8 @@
 class Controller:
     """All slices of one process."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, zone_options: ZoneOptions | None = None) -> None:
+        self.settings, self.zone_options = settings, zone_options
         self.client = StateClient(settings)
         self.view = View(self.client, settings)
         self.cloud = Cloud(settings)
@@ -100,6 +101,8 @@
                 self.jobs_api.state_ok = await self.view.fresh(pause)
             for link in self.links.values():
                 self.leadership.told(*link.knows)
+            if self.zone_options is not None:
+                self.reports.tell_leader(ControllersChecked(self._reachable_zones()))
             if term is not None and not term.over.is_set():
                 if self.jobs_api.state_ok:
                     term.knows(self.view.proven_at)
@@ -114,13 +117,22 @@
                 self.reports.tell_leader(NoOtherLeader())
             await trio.sleep(pause)
 
+    def _reachable_zones(self) -> dict[str, bool]:
+        """Whether any controller of each zone answered when it was last asked."""
+        reachable = {self.settings.location: True}
+        for link in self.links.values():
+            zone = link.peer.location
+            reachable[zone] = reachable.get(zone, False) or link.reachable
+        return reachable
+
     async def run_terms(self, terms: trio.MemoryReceiveChannel[Term]) -> None:
         """Be leader whenever this controller is elected."""
         async for term in terms:
             try:
-                await Leader(self.settings, term, self.client, self.view, self.cloud, self.dependencies).run(
-                    self._announce
+                leader = Leader(
+                    self.settings, term, self.client, self.view, self.cloud, self.dependencies, self.zone_options
                 )
+                await leader.run(self._announce)
             except Exception:
                 log.exception("epoch %d: the leader failed", term.epoch)
                 self._announce(None)
@@ -181,9 +193,9 @@
     await trio.serve_listeners(serve, listeners)
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, zone_options: ZoneOptions | None = None) -> None:
     """Run the controller."""
-    controller = Controller(settings)
+    controller = Controller(settings, zone_options)
     most = settings.cluster.quota.max_connections
     front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
     back = BackServer(controller.handle_back, back_most(most), IDLE_S, SUBMIT_S)
--- a/ladderfield/testing/cloud_service.py
+++ b/ladderfield/testing/cloud_service.py
@@ -24,6 +24,7 @@
         self.capacity = 20
         self.down = False
         self.boots = True
+        self.types = TYPES
 
     async def __call__(self, request: Request) -> Reply:
         """Any request."""
@@ -32,7 +33,7 @@
             return Reply(503, {"error": "trouble"})
         path = request.path.partition("?")[0]
         if path == "/machine_types":
-            return Reply(200, {"flavours": TYPES})
+            return Reply(200, {"flavours": self.types})
         if path == "/machines" and request.method == "GET":
             return Reply(200, {"hosts": list(self.hosts.values()), "hasNext": False})
         body = msgspec.json.decode(request.body)
--- a/ladderfield/testing/worker.py
+++ b/ladderfield/testing/worker.py
@@ -20,6 +20,7 @@
         self.about = {"host": host, "endpoint": f"{at}:90", "flavour": "m4", "yard": "za", "loaners": False} | about
         self.net, self.controllers, self.address = net, controllers, at
         self.run_s = 5.0
+        self.lease_s, self.pace_s, self.fetch_s = 12.0, 0.5, 0.0
         self.endless: Callable[[str], bool] = lambda uid: False  # which jobs are services
         self.fail: set[str] = set()  # jobs whose tasks fail here
         self.tenure, self.tick, self.epoch = 1, 0, 0
@@ -48,13 +49,20 @@
     def _progress(self) -> None:
         if trio.current_time() < self.hung_until:
             return
-        if trio.current_time() - self.answered > 12.0:
+        if trio.current_time() - self.answered > self.lease_s:
             self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
             self.answered = trio.current_time()
         for name, rung in self.rungs.items():
+            if rung["phase"] == "fetching" and trio.current_time() >= self.ends[name]:
+                rung["phase"] = "running"
+                self.ends[name] = self._end_of(name)
             if rung["phase"] == "running" and trio.current_time() >= self.ends[name]:
                 rung |= {"phase": "exited", "cause": "error" if name.split("/")[0] in self.fail else "done"}
 
+    def _end_of(self, name: str) -> float:
+        """When a task that begins to run now ends."""
+        return math.inf if self.endless(name.split("/")[0]) else trio.current_time() + self.run_s
+
     def on(self) -> dict[str, int]:
         """Tasks on the machine: name to attempt."""
         self._progress()
@@ -70,9 +78,9 @@
             rung = self.rungs.get(name)
             if order["verb"] == "launch":
                 if rung is None:
-                    self.rungs[name] = {"rung": name, "try": attempt, "phase": "running"}
-                    forever = self.endless(name.split("/")[0])
-                    self.ends[name] = math.inf if forever else trio.current_time() + self.run_s
+                    phase = "fetching" if self.fetch_s else "running"
+                    self.rungs[name] = {"rung": name, "try": attempt, "phase": phase}
+                    self.ends[name] = trio.current_time() + self.fetch_s if self.fetch_s else self._end_of(name)
                     self.log.append((trio.current_time(), name, attempt))
             elif rung is not None and rung["try"] == attempt:
                 if order["verb"] == "stop" and rung["phase"] != "exited":
@@ -112,7 +120,7 @@
         """Report for ever."""
         node = 0
         while True:
-            await trio.sleep(0.5)
+            await trio.sleep(self.pace_s)
             await trio.sleep_until(self.hung_until)
             self._progress()
             if self.dead or self.mute or self.address in self.net.cut:
@@ -135,5 +143,5 @@
                 node = int(answer["foreman"][1:])
             else:
                 node = (node + 1) % len(self.controllers)
-                await trio.sleep(0.5)
-            await trio.sleep(0.5)
+                await trio.sleep(self.pace_s)
+            await trio.sleep(self.pace_s)
--- /dev/null
+++ b/ladderfield/zones/test_options.py
@@ -0,0 +1,124 @@
+"""The flags: what they mean, and one line for what they can't mean."""
+
+from __future__ import annotations
+
+import datetime
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from ladderfield.cli import main
+from ladderfield.jobs.model import RANKS
+from ladderfield.testing.samples import SETTINGS
+from ladderfield.zones.options import ZoneFlags, check
+from ladderfield.zones.windows import BusyCalendar
+
+ORDER = "production,urgent+standard,best_effort"
+WINDOW_FLAGS = ("--zone-order", ORDER, "--zone-time-zone", "UTC", "--zone-window", "w")
+BILLING = ("billing", "mon,2026-03-08,2026-11-01", "01:15", "02:30")
+
+
+def calendar(
+    time_zone: str = "America/New_York", *windows: tuple[str, str, str, str], holidays: str | None = None
+) -> BusyCalendar:
+    options = check(
+        ZoneFlags(ORDER, windows=windows or (BILLING,), time_zone=time_zone, holidays=holidays), ["za"], 0.025
+    )
+    assert options is not None and options.calendar is not None
+    return options.calendar
+
+
+def at(text: str) -> float:
+    """A moment, in UTC."""
+    return datetime.datetime.fromisoformat(text + "+00:00").timestamp()
+
+
+def test_the_order_puts_each_priority_into_a_wave() -> None:
+    options = check(ZoneFlags(ORDER, (("zb", "production,standard"),)), ["za", "zb"], 0.0)
+    assert options is not None
+    order = options.order_for("za")
+    assert [order.wave_of(RANKS[name]) for name in ("production", "urgent", "standard", "best_effort")] == [0, 1, 1, 2]
+    other = options.order_for("zb")
+    assert other.wave_of(RANKS["urgent"]) == 1, "what no wave names comes with the last"
+
+
+def test_without_an_order_it_is_off() -> None:
+    assert check(ZoneFlags(), ["za"], 0.0) is None
+
+
+@pytest.mark.parametrize(
+    ("arguments", "flag"),
+    [
+        (["--zone-order", "production,urgnt"], "--zone-order"),
+        (["--zone-order", "production,standard,standard"], "--zone-order"),
+        (["--zone-order", "standard,production"], "--zone-order"),
+        (["--zone-order", "production"], "--zone-order"),
+        (["--zone-order", ""], "--zone-order"),
+        (["--zone-order", ORDER, "--zone-order-of", "zx", ORDER], "--zone-order-of"),
+        (["--zone-order", ORDER, "--zone-order-of", "za", ORDER, "--zone-order-of", "za", ORDER], "--zone-order-of"),
+        (["--zone-order", ORDER, "--zone-order-of", "za", "production,x"], "--zone-order-of"),
+        (["--zone-order", ORDER, "--zone-probation", "-1"], "--zone-probation"),
+        (["--zone-order", ORDER, "--zone-probation", "0"], "--zone-probation"),
+        (["--zone-order", ORDER, "--zone-probation", "1e9"], "--zone-probation"),
+        (["--zone-order", ORDER, "--zone-probation", "nan"], "--zone-probation"),
+        (["--zone-probation", "5"], "--zone-probation"),
+        (["--zone-window", *BILLING], "--zone-window"),
+        (["--zone-order", ORDER, "--zone-window", *BILLING], "--zone-window"),
+        (["--zone-order", ORDER, "--zone-time-zone", "Asia/Kuala_Lumpur"], "--zone-time-zone"),
+        (["--zone-order", ORDER, "--zone-window", *BILLING, "--zone-time-zone", "Mars/Base"], "--zone-time-zone"),
+        (["--zone-order", ORDER, "--zone-window", *BILLING, "--zone-time-zone", "../x"], "--zone-time-zone"),
+        ([*WINDOW_FLAGS, "mon", "09:00", "06:00"], "--zone-window"),
+        ([*WINDOW_FLAGS, "mon", "06:00", "06:00"], "--zone-window"),
+        ([*WINDOW_FLAGS, "someday", "06:00", "7:00"], "--zone-window"),
+        ([*WINDOW_FLAGS, "mon", "6", "25:00"], "--zone-window"),
+        (
+            [*WINDOW_FLAGS, "monday-after-holiday", "06:00", "07:00"],
+            "--zone-window",
+        ),
+        (
+            [*WINDOW_FLAGS, "monday-after-holiday", "06:00", "07:00", "--zone-holidays", "QQ"],
+            "--zone-holidays",
+        ),
+    ],
+)  # fmt: skip
+def test_what_can_not_be_meant_ends_with_code_2_and_one_line(tmp_path: Path, arguments: list[str], flag: str) -> None:
+    config = tmp_path / "settings.json"
+    config.write_text(json.dumps(SETTINGS))
+    result = CliRunner().invoke(main, ["serve", *arguments, "--config", str(config)])
+    assert result.exit_code == 2
+    (line,) = result.output.strip().splitlines()
+    assert line.startswith(f"ladderfield: {flag}: "), line
+
+
+def test_a_window_on_an_ordinary_day() -> None:
+    one = calendar()
+    monday = "2026-06-01T"  # 01:15 in New York is 05:15 in UTC
+    assert one.busy(at(monday + "05:14:59")) is None
+    assert one.busy(at(monday + "05:15:00") - 0.02) == "billing", "the clock may be off"
+    assert one.busy(at(monday + "06:29:59")) == "billing"
+    assert one.busy(at(monday + "06:30:01")) is None
+    assert one.busy(at("2026-06-02T05:30:00")) is None
+
+
+def test_a_bound_in_the_missing_hour_makes_the_window_longer() -> None:
+    one = calendar()  # on 2026-03-08 the hour from 2 to 3 is missing: at 07:00 in UTC it is 3 o'clock
+    assert one.busy(at("2026-03-08T06:14:00")) is None
+    assert one.busy(at("2026-03-08T06:15:00")) == "billing"
+    assert one.busy(at("2026-03-08T07:29:00")) == "billing", "02:30 counts as 03:30"
+    assert one.busy(at("2026-03-08T07:31:00")) is None
+
+
+def test_a_bound_in_the_repeated_hour_makes_the_window_longer() -> None:
+    one = calendar()  # on 2026-11-01 the hour from 1 to 2 comes twice: from 05:00 and from 06:00 in UTC
+    assert one.busy(at("2026-11-01T05:14:00")) is None
+    assert one.busy(at("2026-11-01T05:16:00")) == "billing", "from its first coming"
+    assert one.busy(at("2026-11-01T07:29:00")) == "billing"
+
+
+def test_the_monday_after_a_public_holiday() -> None:
+    one = calendar("Asia/Kuala_Lumpur", ("raya", "monday-after-holiday", "08:00", "12:00"), holidays="MY")
+    assert one.busy(at("2026-09-07T02:00:00")) == "raya", "the national day was the Monday before"
+    assert one.busy(at("2026-10-12T02:00:00")) is None
+    assert one.busy(at("2026-09-08T02:00:00")) is None
