--- a/ladderfield/zones/test_options.py
+++ b/ladderfield/zones/test_options.py
@@ -117,6 +117,14 @@
     assert one.busy(at("2026-11-01T07:29:00")) == "billing"
 
 
+def test_a_window_that_begins_in_the_missing_hour_or_ends_in_the_repeated_one() -> None:
+    missing = calendar("America/New_York", ("early", "2026-03-08", "02:10", "04:00"))
+    assert missing.busy(at("2026-03-08T06:11:00")) == "early", "from 01:10, as if the hour were not missing yet"
+    repeated = calendar("America/New_York", ("late", "2026-11-01", "00:30", "01:30"))
+    assert repeated.busy(at("2026-11-01T06:29:00")) == "late", "until its second coming"
+    assert repeated.busy(at("2026-11-01T06:31:00")) is None
+
+
 def test_the_monday_after_a_public_holiday() -> None:
     one = calendar("Asia/Kuala_Lumpur", ("raya", "monday-after-holiday", "08:00", "12:00"), holidays="MY")
     assert one.busy(at("2026-09-07T02:00:00")) == "raya", "the national day was the Monday before"
--- a/ladderfield/zones/test_record.py
+++ b/ladderfield/zones/test_record.py
@@ -90,6 +90,8 @@
     assert value["zones"]["zc"]["state"] == "lost"
     fleet.pass_time(3.0)
     assert fleet.records[ZONES][1] == stamp
+    record = fleet.leader.scheduler.zones.record
+    assert record is not None and record.stamp == stamp, "the next write is guarded by this one"
     fleet.elect()
     assert state(fleet) is ZoneState.LOST
     fleet.cut()
--- a/ladderfield/zones/test_returns.py
+++ b/ladderfield/zones/test_returns.py
@@ -7,10 +7,13 @@
 
 import pytest
 
+from ladderfield.queues.pick import Tier
 from ladderfield.testing.scripted_fleet import LEASE_S, ScriptedFleet
 from ladderfield.zones.coordinator import ZoneCoordinator
 from ladderfield.zones.health import HOLD_MOST_S, ZoneState
 from ladderfield.zones.options import ZoneFlags, check
+from ladderfield.zones.reserve import Reservation
+from ladderfield.zones.waves import may_fetch
 
 ORDER = "production,standard,best_effort"
 PORTAL, RECALC, BACKFILL = "req-000001", "req-000002", "req-000003"
@@ -149,6 +152,21 @@
     assert service is None or arrays is None or service < arrays
 
 
+async def test_a_zone_whose_machines_come_back_with_nothing_was_lost() -> None:
+    """Their leases ended on their clocks before they were seen to be over on ours."""
+    fleet = started()
+    batch(fleet, 24)
+    fleet.pass_time(4.0)
+    fleet.cut("zc")
+    fleet.pass_time(8.0)
+    assert health(fleet) is ZoneState.SUSPECTED
+    for worker in fleet.workers:
+        worker.answered_at -= LEASE_S if worker.cut else 0.0
+    fleet.cut()
+    fleet.pass_time(2.0)
+    assert health(fleet) is ZoneState.PROBATION and count(fleet, RECALC, "zc") == 0
+
+
 async def test_a_machine_that_reports_before_its_zone_is_looked_at_gets_no_batch() -> None:
     """Reports and passes come many times between two looks at the zones."""
     fleet = started()
@@ -390,10 +408,12 @@
 
 
 async def test_reports_that_name_an_unknown_zone_harm_nothing() -> None:
-    fleet = started()
+    options = check(ZoneFlags(ORDER), ["za", "zb", "zc"], 0.0)
+    fleet = ScriptedFleet(12, options)
     for worker in fleet.workers[:6]:
         worker.zone = "nowhere"
     fleet.pass_time(4.0)
+    assert "nowhere" in fleet.leader.scheduler.detector.zones
     fleet.cut("nowhere")
     fleet.pass_time(AWAY_S)
     zones = fleet.leader.scheduler.zones
@@ -420,3 +440,90 @@
     fleet.pass_time(HOLD_MOST_S + 20.0)
     assert count(fleet, PORTAL) == 4 and count(fleet, "req-000004", "zc") == 2
     assert count(fleet, RECALC) + count(fleet, BACKFILL) == 18, "no job waits beside free room"
+
+
+async def test_a_service_goes_to_a_zone_on_probation_only_where_no_other_has_room() -> None:
+    fleet = started()
+    fleet.cut("za")  # whose machines would ask first
+    fleet.pass_time(AWAY_S)
+    fleet.cut()
+    fleet.pass_time(2.0)
+    assert health(fleet, "za") is ZoneState.PROBATION
+    portal(fleet, 2)
+    fleet.pass_time(3.0)
+    assert count(fleet, PORTAL) == 2 and count(fleet, PORTAL, "za") == 0
+
+
+async def test_while_a_zone_is_evacuated_services_come_before_what_is_owed_to_teams() -> None:
+    fleet = started()
+    portal(fleet, 1)
+    batch(fleet, 2, owner="red")  # within its guarantee
+    jobs = fleet.leader.scheduler.jobs
+    owed, service = Tier(True, {jobs[RECALC]}), Tier(False, {jobs[PORTAL]})
+    zones = fleet.leader.scheduler.zones
+    assert zones.order_tiers([owed, service]) == [owed, service]
+    fleet.cut("zc")
+    fleet.pass_time(AWAY_S)
+    assert zones.order_tiers([owed, service]) == [service, owed]
+    fleet.pass_time(HOLD_MOST_S)
+    assert health(fleet) is ZoneState.LOST and zones.order_tiers([owed, service]) == [owed, service]
+
+
+async def test_while_a_service_waits_for_its_image_batch_gets_no_share_of_the_machine() -> None:
+    """Also when batch may return already, and a service comes later."""
+    fleet = started(fetch_s=9.0)
+    batch(fleet, 1, memoryGb=1.0)
+    portal(fleet, 1)
+    fleet.pass_time(3.0)
+    jobs, machines = fleet.leader.scheduler.jobs, fleet.leader.scheduler.machines.values()
+    (fetching,) = (one for one in machines if (PORTAL, 0) in one.claims)
+    idle = next(one for one in machines if not one.claims)
+    assert not may_fetch(fetching, jobs[RECALC]) and may_fetch(fetching, jobs[PORTAL])
+    assert may_fetch(idle, jobs[RECALC])
+    fleet.pass_time(9.0)
+    assert may_fetch(fetching, jobs[RECALC])
+
+
+async def test_a_reservation_counts_what_was_placed() -> None:
+    fleet = started(machines=3)
+    portal(fleet, 1, cores=4.0, memoryGb=16.0)
+    batch(fleet, 1)
+    scheduler = fleet.leader.scheduler
+    first, second, third = sorted(scheduler.machines.values(), key=lambda one: one.host)
+    service, array = scheduler.jobs[PORTAL], scheduler.jobs[RECALC]
+    kept = Reservation([service, service], [first, second, third])
+    assert kept.allows(first, array.spec)
+    kept.claimed(scheduler.claim(array, 0, first, first.host, fleet.now), first)
+    assert not kept.allows(second, array.spec), "two places are left for two"
+    assert kept.allows(first, array.spec), "where none fits any more there is nothing to keep"
+    kept.claimed(scheduler.claim(service, 0, second, second.host, fleet.now), second)
+    assert not kept.allows(third, array.spec)
+    third_kept = Reservation([service], [first, third])
+    third_kept.claimed(scheduler.claim(service, 1, third, third.host, fleet.now), third)
+    assert third_kept.allows(first, array.spec)
+
+
+async def test_no_room_is_cleared_where_the_return_does_not_allow_the_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = started(machines=3)
+    batch(fleet, 6)
+    fleet.pass_time(3.0)
+    assert count(fleet, RECALC) == 6
+    monkeypatch.setattr(ZoneCoordinator, "admits", lambda self, machine, job: False)
+    portal(fleet, 1)
+    fleet.pass_time(3.0)
+    assert count(fleet, RECALC) == 6
+
+
+async def test_what_a_successor_finds_running_did_not_return() -> None:
+    fleet = started()
+    portal(fleet, 4, yard="zc")
+    fleet.pass_time(3.0)
+    fleet.cut("zc")
+    fleet.pass_time(AWAY_S)
+    fleet.cut()
+    fleet.pass_time(3.0)
+    assert health(fleet) is ZoneState.PROBATION and count(fleet, PORTAL) == 4
+    fleet.elect()
+    fleet.pass_time(3.0)
+    zones = fleet.leader.scheduler.zones
+    assert isinstance(zones, ZoneCoordinator) and not zones.return_log.returned
