Zones: no time runs for a return while nothing can be started; lost sessions show to a successor

Cause: with the state service out as a zone returned, its probation ended and batch began together with the service; and a successor took a zone whose machines came back with nothing for one that lost nothing. Change: probation and hold are delayed while the leader may start nothing; a machine that shows none of the tasks claimed for it counts as lost with its zone.

--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -268,6 +268,8 @@
         self.scheduler.zones.controllers_checked(message.reachable)
 
     def _on_tick(self, message: Tick, now: float) -> None:
+        if not self.term.may_start(now):
+            self.scheduler.zones.delay(now)
         doomed = self.scheduler.sweep(now)
         for machine in self.scheduler.machines.values():
             if machine.claims and machine.epoch == self.term.epoch and self._has_untold_stop(machine):
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -54,10 +54,11 @@
         if order <= (machine.tenure, machine.tick) and heard_before is not None:
             return machine  # overtaken on its way: what it lists is no longer so
         accepted = report.epoch == self.scheduler.epoch
+        lost_all = came_back_with_nothing(machine, report)
         self._note_sign_of_life(machine, accepted, now)
+        if lost_all:
+            self.scheduler.zones.restarted(machine)
         if report.tenure > machine.tenure:
-            if heard_before is not None:
-                self.scheduler.zones.restarted(machine)
             machine.doubts.clear()  # orders of an earlier session are refused from now on
             recently = heard_before is not None and now - heard_before < self.scheduler.lease_s / 2
             if recently and answered_before is not None:
@@ -290,3 +291,10 @@
             for claim in machine.claims.values():
                 if claim.attempt in attempts:
                     claim.sent_tenure = None
+
+
+def came_back_with_nothing(machine: Machine, report: Report) -> bool:
+    """Whether the machine's lease has run out since it was last heard, or since an earlier leader gave it its tasks."""
+    if machine.heard_at is not None:
+        return report.tenure > machine.tenure
+    return bool(machine.claims) and machine.claims.keys().isdisjoint(rung.task() for rung in report.rungs)
--- a/ladderfield/testing/cluster.py
+++ b/ladderfield/testing/cluster.py
@@ -21,13 +21,14 @@
 from ladderfield.peers import BackServer, PeerLink
 from ladderfield.server import Controller
 from ladderfield.testing import CloudService, Network, StateService, Worker, job, settings
+from ladderfield.zones.options import ZoneOptions
 
 
 class Cluster:
     """The whole, with levers for what goes wrong."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self.nursery = nursery
+    def __init__(self, nursery: trio.Nursery, zone_options: ZoneOptions | None = None) -> None:
+        self.nursery, self.zone_options = nursery, zone_options
         self.net = Network(nursery)
         self.state = StateService()
         self.cloud = CloudService(self._boot)
@@ -37,6 +38,7 @@
         self.net.http("10.2.0.2:84", self.cloud)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.limit = 16.0
+        self.cut_zones: set[str] = set()  # machines that come up there can't be reached
         self.run_s = 5.0  # how long a task runs on machines that come up from now on
         nursery.start_soon(self.state.run)
         nursery.start_soon(self._watch_rules)
@@ -47,6 +49,8 @@
         worker = Worker(host, at, self.net, nodes, yard=hire["yard"], loaners=hire["loaners"])
         worker.run_s = self.run_s
         worker.endless = lambda uid: self.jobs[uid]["shape"] == "daemon"
+        if hire["yard"] in self.cut_zones:
+            self.net.cut.add(at)
         self.net.http(f"{at}:90", worker)
         self.nursery.start_soon(worker.run)
         return worker
@@ -59,7 +63,7 @@
         own = settings(number)
         with trio.CancelScope() as scope:
             self.scopes[number] = scope
-            controller = self.controllers[number] = Controller(own)
+            controller = self.controllers[number] = Controller(own, self.zone_options)
             self.net.listen(own.bind, Server(controller.handle, 500, 5.0, 60.0))
             self.net.listen(own.back, BackServer(controller.handle_back, 20, 60.0, 5.0))
             await controller.run()
@@ -133,10 +137,12 @@
 
 
 @asynccontextmanager
-async def cluster(monkeypatch: pytest.MonkeyPatch, nodes: int = 3) -> AsyncIterator[Cluster]:
+async def cluster(
+    monkeypatch: pytest.MonkeyPatch, nodes: int = 3, zone_options: ZoneOptions | None = None
+) -> AsyncIterator[Cluster]:
     """A running cluster."""
     async with trio.open_nursery() as nursery:
-        whole = Cluster(nursery)
+        whole = Cluster(nursery, zone_options)
         # The time of day goes on with the fake clock, or else what is on record would seem to be long past.
         began, real = time.time() - trio.current_time(), time.time
         monkeypatch.setattr("time.time", lambda: began + trio.current_time() if in_trio_run() else real())
--- a/ladderfield/zones/coordinator.py
+++ b/ladderfield/zones/coordinator.py
@@ -81,6 +81,12 @@
         if (self.returns or self._troubled()) and now - self._summary_at > SUMMARY_EVERY * self.scheduler.report_s:
             self._log_summary(now)
 
+    def delay(self, now: float) -> None:
+        """Nothing can be started now: probations and holds go on where they are, or batch would have waited in vain."""
+        for health in self.healths.values():
+            health.delay(now - self._now)
+        self._now = now
+
     def _health(self, zone: str, now: float) -> ZoneHealth:
         if zone not in self.healths:
             self.healths[zone] = ZoneHealth(zone, self._timing, now)
--- a/ladderfield/zones/health.py
+++ b/ladderfield/zones/health.py
@@ -153,6 +153,12 @@
             self.failures -= 1
             self.failed_at = now
 
+    def delay(self, seconds: float) -> None:
+        """Probation and hold last so much longer."""
+        self._steady_from += seconds
+        if self.held_from is not None:
+            self.held_from += seconds
+
     def resume(self, state: ZoneState, since: float, failures: int, failed_at: float, held_from: float | None) -> None:
         """Go on where an earlier leader stood. What it was waiting for has to show anew."""
         self.state, self.since, self.failures, self.failed_at = state, since, failures, failed_at
--- a/ladderfield/zones/policy.py
+++ b/ladderfield/zones/policy.py
@@ -26,6 +26,9 @@
     def observe(self, counts: Mapping[str, ZoneCounts], now: float) -> None:
         """What is known of the machines of each zone now."""
 
+    def delay(self, now: float) -> None:
+        """Nothing can be started now: no time runs for what waits for a start."""
+
     def controllers_checked(self, reachable: Mapping[str, bool]) -> None:
         """Whether any controller of each zone answered lately."""
 
--- a/ladderfield/zones/test_returns.py
+++ b/ladderfield/zones/test_returns.py
@@ -485,11 +485,11 @@
 
 
 async def test_a_reservation_counts_what_was_placed() -> None:
-    fleet = started(machines=3)
-    portal(fleet, 1, cores=4.0, memoryGb=16.0)
+    fleet = started(machines=4)
+    portal(fleet, 2, cores=4.0, memoryGb=16.0)
     batch(fleet, 1)
     scheduler = fleet.leader.scheduler
-    first, second, third = sorted(scheduler.machines.values(), key=lambda one: one.host)
+    first, second, third, fourth = sorted(scheduler.machines.values(), key=lambda one: one.host)
     service, array = scheduler.jobs[PORTAL], scheduler.jobs[RECALC]
     kept = Reservation([service, service], [first, second, third])
     assert kept.allows(first, array.spec)
@@ -498,9 +498,9 @@
     assert kept.allows(first, array.spec), "where none fits any more there is nothing to keep"
     kept.claimed(scheduler.claim(service, 0, second, second.host, fleet.now), second)
     assert not kept.allows(third, array.spec)
-    third_kept = Reservation([service], [first, third])
-    third_kept.claimed(scheduler.claim(service, 1, third, third.host, fleet.now), third)
-    assert third_kept.allows(first, array.spec)
+    one_kept = Reservation([service], [third, fourth])
+    one_kept.claimed(scheduler.claim(service, 1, third, third.host, fleet.now), third)
+    assert one_kept.allows(fourth, array.spec), "the service has its place"
 
 
 async def test_no_room_is_cleared_where_the_return_does_not_allow_the_task(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/ladderfield/zones/waves.py
+++ b/ladderfield/zones/waves.py
@@ -44,7 +44,7 @@
                 return True
         seen: set[Shape] = set()
         for job in jobs:
-            if job.final is not None or not job.queued or now < job.not_before or not self._of_wave(job):
+            if job.final is not None or not job.waiting or now < job.not_before or not self._of_wave(job):
                 continue
             if not teams.room(job.spec) or (job.shape in seen and not (job.spec.one_zone or job.spec.spread)):
                 continue
