--- a/ladderfield/zones/coordinator.py
+++ b/ladderfield/zones/coordinator.py
@@ -45,6 +45,7 @@
         self.returns: dict[str, Return] = {}
         self.return_log = ReturnLog(scheduler.most_kept)
         self._controllers: dict[str, bool] = {}
+        self._wanted: set[str] = set()  # zones that a production job may use: elsewhere nobody has to be let in first
         self._reservation = Reservation((), ())
         self._now = scheduler.term_from
         self._summary_at = -math.inf
@@ -76,6 +77,7 @@
                 transition = self._health(zone, now).observe(count, now, bool(busy))
                 if transition is not None:
                     self._changed(transition, str(busy or ""))
+        self._wanted = self._wanted_zones()
         for zone in list(self.returns):
             self._advance(self.returns[zone], now)
         if (self.returns or self._troubled()) and now - self._summary_at > SUMMARY_EVERY * self.scheduler.report_s:
@@ -87,6 +89,16 @@
             health.delay(now - self._now)
         self._now = now
 
+    def _wanted_zones(self) -> set[str]:
+        """Zones that are not healthy, or return, and that a production job may use."""
+        zones = {zone for zone, health in self.healths.items() if zone in self.returns or health.held_from is not None}
+        if not zones:
+            return zones
+        production = [
+            job.spec.zone for job in self.scheduler.jobs.values() if job.final is None and _is_production(job)
+        ]
+        return zones if None in production else zones.intersection(production)
+
     def _health(self, zone: str, now: float) -> ZoneHealth:
         if zone not in self.healths:
             self.healths[zone] = ZoneHealth(zone, self._timing, now)
@@ -174,19 +186,23 @@
     def asks_last(self, machine: Machine) -> bool:
         """A machine of a zone that is not healthy gets a task only where no other has room."""
         health = self.healths.get(machine.zone)
-        return health is not None and health.state is not ZoneState.HEALTHY
+        return health is not None and health.state is not ZoneState.HEALTHY and machine.zone in self._wanted
 
     def admits(self, machine: Machine, job: Job) -> bool:
         """Whether a task may start there now: the zone's return allows it, and it takes no last place of a service."""
         health = self.healths.get(machine.zone)
         one = self.returns.get(machine.zone)
-        if health is not None and (one is not None or health.troubled) and health.holding(self._now):
+        if health is not None and (one is not None or health.troubled) and self._holds(health):
             if health.troubled and not _is_production(job):
                 return False  # in a suspected zone too: its machines may just have come back from a lease that ended
             if one is not None and not (one.opens(job.order[0]) and may_fetch(machine, job)):
                 return False
         return _is_production(job) or self._reservation.allows(machine, job.spec)
 
+    def _holds(self, health: ZoneHealth) -> bool:
+        """Whether anything is held there: not for long, and not where no production job could be in the way of."""
+        return health.holding(self._now) and (health.held_from is None or health.zone in self._wanted)
+
     def rents_in(self, zone: str, spec: JobSpec, now: float) -> bool:
         """No machines where they could not be reached, unless the job may use no other zone.
 
--- a/ladderfield/zones/test_returns.py
+++ b/ladderfield/zones/test_returns.py
@@ -187,6 +187,20 @@
     assert claims and all(claim.job.uid == PORTAL for claim in claims)
 
 
+async def test_where_no_production_job_can_go_batch_returns_at_once() -> None:
+    fleet = started()
+    portal(fleet, 2, yard="za")
+    batch(fleet, 24)
+    fleet.pass_time(4.0)
+    fleet.cut("zc")
+    fleet.pass_time(AWAY_S)
+    since = fleet.now
+    fleet.cut()
+    fleet.pass_time(4.0)
+    begun = first_start(fleet, RECALC, "zc", since)
+    assert health(fleet) is ZoneState.PROBATION and begun is not None
+
+
 async def test_services_that_run_well_elsewhere_stay_there() -> None:
     fleet = started()
     portal(fleet, 6)
@@ -232,7 +246,8 @@
 async def test_each_loss_makes_the_next_probation_longer_and_every_hold_ends() -> None:
     fleet = started()
     watch_services_first(fleet)
-    batch(fleet, 24)
+    portal(fleet, 1)
+    batch(fleet, 23)
     fleet.pass_time(4.0)
     waits = []
     for _ in range(4):
