Scheduling passes are a module of their own; plainer names for what a machine and the tables keep

Change: leader/scheduling_pass.py; FailureDetector.observe, reason_to_delete, needs_no_decision, must_let_lease_end; Machine.unanswered_launches, not_hearing_since, cannot_report, preemptible; and others. No behaviour changes.

--- a/benchmarks/leader_load.py
+++ b/benchmarks/leader_load.py
@@ -13,6 +13,7 @@
 import json
 import multiprocessing
 import os
+import shlex
 import signal
 import subprocess
 import sys
@@ -128,7 +129,9 @@
     return (after.cpu_s - before.cpu_s) / seconds, after.memory_mb
 
 
-async def measure(machines: int, seconds: float, report_s: float, busy: float, run_s: float, profile: bool) -> None:
+async def measure(
+    machines: int, seconds: float, report_s: float, busy: float, run_s: float, profile: bool, flags: str
+) -> None:
     """One size: start everything, let it settle, and print what the leader used."""
     context = multiprocessing.get_context("spawn")  # a fork would inherit this event loop
     results: Any = context.Queue()
@@ -145,6 +148,7 @@
             "--log-level",
             os.environ.get("LOG_LEVEL", "error"),
         ]
+        command += shlex.split(flags)
         if profile:
             command[2] = "benchmarks.sampled_controller"
         async with trio.open_nursery() as nursery:
@@ -197,10 +201,13 @@
 @click.option("--busy", default=0.5, show_default=True, help="Share of the cpus that tasks are submitted for.")
 @click.option("--run-s", default=10.0, show_default=True, help="How long a task runs.")
 @click.option("--profile", is_flag=True, help="Sample the controller's stack and print where its time went.")
-def main(machines: tuple[int, ...], seconds: float, report_s: float, busy: float, run_s: float, profile: bool) -> None:
+@click.option("--flags", default="", help="More flags for the controller, as one text.")
+def main(
+    machines: tuple[int, ...], seconds: float, report_s: float, busy: float, run_s: float, profile: bool, flags: str
+) -> None:
     """Measure each size in turn."""
     for size in machines:
-        trio.run(measure, size, seconds, report_s, busy, run_s, profile)
+        trio.run(measure, size, seconds, report_s, busy, run_s, profile, flags)
 
 
 if __name__ == "__main__":
--- a/ladderfield/fleet/capacity.py
+++ b/ladderfield/fleet/capacity.py
@@ -66,7 +66,7 @@
         else:
             self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
             self.images = machine.cached
-            self.lower = list(machine.soft)
+            self.lower = list(machine.preemptible)
         self.for_arrays = self.cpus + self.lower[0]
         self.idle = machine is not None and not machine.claims
 
--- a/ladderfield/fleet/cloud.py
+++ b/ladderfield/fleet/cloud.py
@@ -40,7 +40,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._client = Client(*address(settings.outside.cloud))
-        # Nearly all of the limit is the leader's; the front doors only fetch the types while none are on record.
+        # Nearly all of the limit is the leader's; the jobs APIs only fetch the types while none are on record.
         self.budget = Budget(settings.cluster.cloud.rps * 0.8)
         self.idle_budget = Budget(settings.cluster.cloud.rps * 0.2 / settings.cluster.size)
 
--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -57,7 +57,8 @@
         """Whether the machine can be counted on for new tasks, now or once it is up."""
         detector = self.scheduler.detector
         leaving = machine.deleting or machine.recall_at is not None
-        faulty = machine.sick or machine.deaf_since is not None or (machine.mute and not detector.mostly_mute)
+        alone = machine.cannot_report and not detector.most_cannot_report
+        faulty = machine.sick or machine.not_hearing_since is not None or alone
         away = machine.heard_at is not None and detector.away(machine, now)
         return not (leaving or faulty or away) and bool(machine.kind.cpus)
 
--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -1,10 +1,11 @@
 """Putting accepted jobs on record: jobs that arrive while a write is under way share the next one.
 
-The state service counts changes, not bytes, and a front door has only a small share of them. So one record takes all
-that has gathered (group commit): there is no timer, and a job that finds nothing under way is written at once. The
-record is named after its first job, whose retry elsewhere therefore finds it; any other job of it may stand on two
-records after a retry at another door. That is harmless: both say the same, the job counts once, and a record is deleted
-only when all of its jobs are over. A late copy is harmless too: each job's final state guards the write.
+The state service counts changes, not bytes, and a controller's jobs API has only a small share of them. So one record
+takes all that has gathered (group commit): there is no timer, and a job that finds nothing under way is written at
+once. The record is named after its first job, whose retry elsewhere therefore finds it; any other job of it may stand
+on two records after a retry at another controller. That is harmless: both say the same, the job counts once, and a
+record is deleted only when all of its jobs are over. A late copy is harmless too: each job's final state guards the
+write.
 """
 
 from __future__ import annotations
@@ -54,7 +55,7 @@
 
 
 class Acceptor:
-    """The one writer of a front door's submissions."""
+    """The one writer of a controller's submissions."""
 
     def __init__(
         self, settings: Settings, client: StateClient, view: View, dependencies: DependencyGraph, wait_s: float
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -35,7 +35,8 @@
     TransactionAnswered,
     WriterReady,
 )
-from ladderfield.leader.scheduler import OVERDUE, Scheduler
+from ladderfield.leader.scheduler import Scheduler
+from ladderfield.leader.scheduling_pass import OVERDUE
 from ladderfield.leader.writer import Writer
 from ladderfield.leadership import EPOCH, Term, grace_of
 from ladderfield.settings import Settings
@@ -187,7 +188,7 @@
         if (
             self._outranked(report, now)
             or not self.term.may_answer(now)
-            or self.scheduler.detector.lets_go(report.host, now, patience)
+            or self.scheduler.detector.must_let_lease_end(report.host, now, patience)
         ):
             message.answer.set(None)
             return
--- a/ladderfield/leader/dispatcher.py
+++ b/ladderfield/leader/dispatcher.py
@@ -8,7 +8,8 @@
 
 from ladderfield.http import Client, NoAnswerError
 from ladderfield.leader.messages import Message, OrdersAnswered
-from ladderfield.leader.scheduler import OVERDUE, Scheduler
+from ladderfield.leader.scheduler import Scheduler
+from ladderfield.leader.scheduling_pass import OVERDUE
 from ladderfield.leadership import Term
 from ladderfield.settings import Settings, address
 from ladderfield.workers.machine import Machine
@@ -57,7 +58,7 @@
     def doubtful(self, machine: Machine, now: float) -> bool:
         """Whether it is overdue or does not seem to hear us."""
         return (
-            machine.deaf_since is not None
+            machine.not_hearing_since is not None
             or machine.silent_for(now, self.scheduler.term_from) > OVERDUE * self.report_s
         )
 
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -41,7 +41,7 @@
             if peer.member in before
         }
         self._mostly_silent = False
-        self.mostly_mute = False  # then the fault is likely ours, and other machines would be no better off
+        self.most_cannot_report = False  # then the fault is likely ours, and other machines would be no better off
         self.zones: dict[str, ZoneCounts] = {}
         self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
@@ -54,7 +54,7 @@
             log.info("epoch %d: no earlier leader is left", self.scheduler.epoch)
             self.others_until = now
 
-    def look(self, now: float) -> None:
+    def observe(self, now: float) -> None:
         """See which zones are cut off.
 
         At least half of the machines there, and more than one, are silent, or have lately begun to come by way of
@@ -65,11 +65,11 @@
             # Guards work against machines that can't reach any controller while our commands reach them: their lease
             # runs out, and with it ends all that would be begun there.
             came_at = machine.up_at if machine.reported_at is None else machine.reported_at
-            machine.mute = came_at is not None and now - came_at > self._way
-            mute += machine.mute
+            machine.cannot_report = came_at is not None and now - came_at > self._way
+            mute += machine.cannot_report
             if machine.heard_at is not None or machine.claims:
                 self._count(known.setdefault(machine.zone, ZoneCounts()), machine, now)
-        self.mostly_mute = 2 * mute > len(scheduler.machines)
+        self.most_cannot_report = 2 * mute > len(scheduler.machines)
         counts = known.values()
         self._mostly_silent = 2 * sum(one.impaired for one in counts) > sum(one.machines for one in counts)
         self.cut = {zone for zone, one in known.items() if one.impaired > 1 and one.impaired * 2 >= one.machines}
@@ -81,7 +81,7 @@
         zone.machines += 1
         silent = machine.silent_for(now, scheduler.term_from) > SILENT * scheduler.report_s
         detour = machine.relayed and now - machine.detour_at < DETOURS * scheduler.lease_s
-        zone.impaired += silent or detour or machine.deaf_since is not None
+        zone.impaired += silent or detour or machine.not_hearing_since is not None
         if silent:
             zone.unheard += 1
             zone.lapsed += now > self.lease_over_at(machine)
@@ -123,7 +123,7 @@
         silent = machine.silent_for(now, self.scheduler.term_from)
         return machine.zone in self.cut and silent > self.scheduler.lease_s * CLOCKS
 
-    def well(self, machine: Machine, now: float) -> bool:
+    def needs_no_decision(self, machine: Machine, now: float) -> bool:
         """Whether a look at it tells already that nothing is to be decided: of hundreds nearly all are."""
         return (
             machine.usable(now, SILENT * self.scheduler.report_s)
@@ -131,7 +131,7 @@
             and not (machine.claims and self.scheduler.cancelled_at)
         )
 
-    def lets_go(self, host: str, now: float, patience: float) -> bool:
+    def must_let_lease_end(self, host: str, now: float, patience: float) -> bool:
         """Whether the machine's lease is to end because of a cancelled task.
 
         Its cancellation was confirmed so long ago that one more answer would keep it beyond cancel_s. Guards
@@ -143,7 +143,7 @@
         times = (self.scheduler.cancelled_at.get(claim.job.uid, math.inf) for claim in machine.claims.values())
         return now > min(times, default=math.inf) + patience
 
-    def why(self, machine: Machine, now: float) -> str | None:
+    def reason_to_delete(self, machine: Machine, now: float) -> str | None:
         """Why the machine has to go, or None."""
         scheduler = self.scheduler
         if machine.listed == "failed":
@@ -152,10 +152,10 @@
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
         if booted and silent > patience:
             return f"no sign that it is well for {silent:.1f} s"
-        if machine.deaf_since is not None:
+        if machine.not_hearing_since is not None:
             # Its replicas go on until its lease is over; all else is better off elsewhere at once.
             lasting = self._together if machine.replicas else 0.0
-            if now - machine.deaf_since > max(patience, lasting):
+            if now - machine.not_hearing_since > max(patience, lasting):
                 return "it does not hear us"
         # A successor finds idle machines that have been up for long: they get the time to come to it.
         found = now - scheduler.term_from > self._together
--- a/ladderfield/leader/ledger.py
+++ b/ladderfield/leader/ledger.py
@@ -99,7 +99,7 @@
         for job in list(scheduler.orphaned)[: txn.left]:
             # Users are told so already, as it follows from what is on record.
             self._decide(txn, job, {"phase": CANCELLED})
-        for record in list(scheduler.spent)[: txn.left]:
+        for record in list(scheduler.clearable_records)[: txn.left]:
             txn.guards[record.key] = record.stamp
             txn.deletes.append(record.key)
             txn.ended.append(record)
@@ -178,7 +178,7 @@
                 large.drop_done(job, part)
                 done[job] = set(part)
         txn.moved.append((large, claims, done))
-        pages.spoil(large)
+        pages.mark_dirty(large)
         self._write(txn, page)
         assert page in txn.pages, "what moved stands nowhere else once the large page is written"
 
@@ -216,7 +216,7 @@
             log.info("job %s: %s", job.uid, phase)
             scheduler.decided(job, phase, now)
         for record in txn.ended:
-            scheduler.spent.pop(record, None)
+            scheduler.clearable_records.pop(record, None)
         if txn.zones is not None:
             txn.zones.stamp = ledger
 
@@ -237,7 +237,7 @@
         for record in txn.ended:
             record.stamp = stamps.get(record.key, record.stamp)
             if record.stamp == 0:
-                self.scheduler.spent.pop(record, None)
+                self.scheduler.clearable_records.pop(record, None)
         if txn.zones is not None:
             txn.zones.stamp = stamps.get(txn.zones.key, txn.zones.stamp)
             txn.zones.dirty = True
@@ -269,4 +269,4 @@
                 page.drop_done(job, again)
                 if again and job.final is None:
                     scheduler.unsettled[job] = None
-            pages.spoil(page)
+            pages.mark_dirty(page)
--- a/ladderfield/leader/pages.py
+++ b/ladderfield/leader/pages.py
@@ -182,9 +182,9 @@
         if page is not None:
             page.drop_claim(claim)
             if not done:
-                self.spoil(page)
+                self.mark_dirty(page)
 
-    def spoil(self, page: Page) -> None:
+    def mark_dirty(self, page: Page) -> None:
         """Its record is out of date."""
         page.dirty = True
         self.dirty.add(page)
--- a/ladderfield/leader/scheduler.py
+++ b/ladderfield/leader/scheduler.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -30,10 +29,11 @@
 from ladderfield.leader.failure_detector import SILENT, FailureDetector
 from ladderfield.leader.pages import HOSTS, Page, Pages
 from ladderfield.leader.preemption import Preemption
+from ladderfield.leader.scheduling_pass import SchedulingPass
 from ladderfield.leader.sessions import Sessions
 from ladderfield.leader.waiting import Waiting
-from ladderfield.queues.pick import Queues, Tier, tiers
-from ladderfield.queues.work import Claim, Job, Record, Shape, Share, TaskId, task_name
+from ladderfield.queues.pick import Queues
+from ladderfield.queues.work import Claim, Job, Record, TaskId, task_name
 from ladderfield.settings import Settings
 from ladderfield.table_sizes import most_entries
 from ladderfield.teams import Teams
@@ -47,11 +47,8 @@
 log = logging.getLogger(__name__)
 
 # Ratios to the workers' pace.
-OVERDUE = 1.5  # of report_s: a report is missing, so no replica is put there and no room cleared for one
 PAUSE = 0.5  # of report_s: the first pause of a job whose task failed; doubles each time
 PAUSE_MOST = 10.0  # of report_s
-OWED = 6.0  # of report_s: how long a task within its team's guarantee waits before borrowed room is taken back
-OLD_SHARE = 0.25  # of all cpus: what goes by age to jobs that have waited for long
 AVOID = 20.0  # of report_s: how long a job's tasks go elsewhere, if anywhere else is room, once one failed on a machine
 BLAME = 2  # different jobs that failed on a machine since its last success make it sick
 
@@ -82,22 +79,22 @@
         self.most_kept = most_entries(settings)  # of deleted machines, and of cancellations heard of
         self.types: dict[str, MachineType] = {}
         self.cancelled_at: dict[str, float] = {}
-        self.heard: dict[str, float] = {}  # cancellations not seen on record yet, and since when
+        self.cancellations_heard: dict[str, float] = {}  # cancellations not seen on record yet, and since when
         # What is to be recorded: claims, ends of tasks, jobs that are complete, and jobs of which nothing is left.
         self.pages = Pages(settings.cluster.state.value_kb)
         self.unrecorded: dict[Claim, None] = {}
         self.unsettled: dict[Job, None] = {}
         self.complete: dict[Job, None] = {}
         self.orphaned: dict[Job, None] = {}  # cancelled with a job that they wait for
-        self.spent: dict[Record, None] = {}
+        self.clearable_records: dict[Record, None] = {}
         self.changed = True  # something since the last pass could let a task start
-        self.firsts, self.eldest = Share(), Share()  # room for jobs that have waited for long
         self._attempts = 0
         self.estimates = Estimates(settings, self.wall_offset)
         self.waiting = Waiting(self, dependencies)
         self.sessions = Sessions(self)
         self.detector = FailureDetector(self, now + grace_s, before or {}, wall - now)
         self.preemption = Preemption(self)
+        self.passes = SchedulingPass(self)
         self.zones = ZonePolicy() if zone_options is None else ZoneCoordinator(self, zone_options)
         self.push: Callable[[Machine], None] = lambda machine: None
 
@@ -121,7 +118,7 @@
             if claim.index not in claim.job.finished:
                 self._inherit(claim, now)
         for job in list(self.jobs.values()):
-            job.told = job.final is not None
+            job.final_seen = job.final is not None
             self._see_end(job)
         zones, zones_stamp = data.get(ZONES) or (None, 0)
         self.zones.load(zones, zones_stamp, now)
@@ -134,7 +131,7 @@
                 continue
             job = self.jobs.get(uid)
             if job is None or job.final == DONE:
-                self.pages.spoil(page)
+                self.pages.mark_dirty(page)
                 continue
             for first, last in entry.get("d", ()):
                 page.add_done(job, range(first, last + 1))
@@ -146,7 +143,7 @@
                 if other is None or other.attempt < attempt:
                     claims[claim.task] = claim
                 if other is not None:
-                    self.pages.spoil(page if other.attempt >= attempt else other.page or page)
+                    self.pages.mark_dirty(page if other.attempt >= attempt else other.page or page)
 
     def _inherit(self, claim: Claim, now: float) -> None:
         """A claim that an earlier leader left on record binds: guards against a second start after any change."""
@@ -170,7 +167,7 @@
         if job.final is None:
             if job.complete:
                 self.complete[job] = None
-        elif job.told and not job.claims and self.jobs.pop(job.uid, None) is not None:
+        elif job.final_seen and not job.claims and self.jobs.pop(job.uid, None) is not None:
             # While anything of it may run it has to be known, and known to be cancelled; and another record that names
             # it can't come any more.
             log.info("job %s: %s and off all machines", job.uid, job.final)
@@ -178,7 +175,7 @@
             for record in job.records:
                 record.live.discard(job.uid)
                 if not record.live:
-                    self.spent[record] = None
+                    self.clearable_records[record] = None
 
     def _add_jobs(self, key: str, value: Any, stamp: int, now: float) -> None:
         """A record of accepted jobs. One that a job has been on twice is known already."""
@@ -191,20 +188,20 @@
                 self.estimates.arrived(job)
                 self.waiting.tie(job)
                 self.changed = True
-                if uid in self.heard:
-                    self._cancel(job, self.heard[uid], now)
+                if uid in self.cancellations_heard:
+                    self._cancel(job, self.cancellations_heard[uid], now)
             if all(one.key != key for one in job.records):
                 job.records.append(record)
                 record.live.add(uid)
 
     def _finalised(self, key: str, value: Any, now: float, loading: bool = False) -> None:
         job = self.jobs.get(key.removeprefix(FINAL))
-        self.heard.pop(key.removeprefix(FINAL), None)
+        self.cancellations_heard.pop(key.removeprefix(FINAL), None)
         if not loading:
             self.waiting.ended(key.removeprefix(FINAL), value["phase"], now)
         if job is None:
             return
-        job.told = not loading  # its claims are yet to be read then
+        job.final_seen = not loading  # its claims are yet to be read then
         if job.final is not None:
             self._see_end(job)
             return
@@ -228,11 +225,13 @@
         It counts like the record, and is remembered until that is seen, as the job itself may be on record unseen too.
         """
         job = self.jobs.get(uid)
-        if uid in self.heard or self.waiting.dependencies.cancelled(uid) or (job is not None and job.final is not None):
+        if uid in self.cancellations_heard or self.waiting.dependencies.cancelled(uid):
             return
-        self.heard[uid] = since
-        while len(self.heard) > self.most_kept:
-            del self.heard[next(iter(self.heard))]
+        if job is not None and job.final is not None:
+            return
+        self.cancellations_heard[uid] = since
+        while len(self.cancellations_heard) > self.most_kept:
+            del self.cancellations_heard[next(iter(self.cancellations_heard))]
         if job is not None:
             self._cancel(job, since, now)
 
@@ -252,7 +251,7 @@
         self._see_end(job)
 
     def take_changes(self, changes: Iterable[Change], now: float) -> None:
-        """Changes made by other controllers' front doors (and our own)."""
+        """Changes made by the jobs APIs of all controllers."""
         changes = [change for change in changes if change.value is not None]
         for change in changes:
             # First of all, as a batch that was read anew is not in the order of time: an end must find its job.
@@ -318,7 +317,7 @@
     @staticmethod
     def unsent(claim: Claim, machine: Machine) -> bool:
         """Whether no launch of it is out anywhere, so that it can end here and now."""
-        return claim.sent_tenure is None and not claim.inherited and claim.attempt not in machine.doubts
+        return claim.sent_tenure is None and not claim.inherited and claim.attempt not in machine.unanswered_launches
 
     # -- scheduling --------------------------------------------------------------------------------------------
 
@@ -330,118 +329,11 @@
     def schedule(self, now: float) -> int:
         """Deal, then let free machines pull, in the order of guarantee and rank; the number of claims made."""
         self.changed = False
-        machines = self.usable(now)
-        self._deal(machines)
-        for job in self.jobs.values():
-            if job.order[0] == 0 and job.queued and job.final is None and not self.teams.room(job.spec):
-                self.preemption.within_limit(job, now)
-        ready = tiers(self.jobs.values(), self.teams, lambda job: self.estimates.rating(job, now), now)
-        if not ready:
-            return 0
-        ready = self._old_first(self.zones.order_tiers(ready), machines, now)
-        self.queues.begin(machines)
-        self.preemption.begin(now)
-        self.zones.begin_pass(machines, now)
-        free = [machine for machine in machines if machine.cpus > 0]
-        # Spot machines ask first, then those that a replica keeps up anyway, then small and full ones, so that the
-        # dear and the empty run dry and can be returned.
-        free.sort(key=self._turn)
-        prompt = self._prompt(machines, now)
-        made = sum(self._schedule_tier(tier, free, machines, prompt, now) for tier in ready)
-        self.queues.rest()
+        made = self.passes.run(now)
         if made:
             self.changed = True  # a job that went over its guarantee with this pass is in a later tier now
         return made
 
-    def _turn(self, machine: Machine) -> tuple[bool, bool, bool, float, float, str]:
-        """Which machine asks first."""
-        used = machine.cpus / machine.kind.cpus
-        on_trial = self.zones.asks_last(machine)
-        return on_trial, not machine.spot, not machine.keeps_up, machine.kind.price, used, machine.host
-
-    def _prompt(self, machines: list[Machine], now: float) -> set[Machine]:
-        """Machines that miss no report, so that replicas may be put there."""
-        # After a takeover everybody is late, as workers first have to find the new leader.
-        late = OVERDUE * self.report_s if now - self.term_from > SILENT * self.report_s else math.inf
-        return {one for one in machines if one.fresh_at is not None and now - one.fresh_at <= late}
-
-    def _schedule_tier(
-        self, tier: Tier, free: list[Machine], machines: list[Machine], prompt: set[Machine], now: float
-    ) -> int:
-        """Let free machines pull the tasks of one tier, those with the image first; the number of claims made."""
-        made = 0
-        asking = tier.candidates(one for one in free if tier.rank > 0 or one in prompt)
-        for score in (1, 0):
-            if score == 0 and tier.rank == 0:
-                for job in tier.jobs:
-                    self.preemption.for_replicas(job, prompt, now)
-                # A replica whose image has to be fetched starts soonest where that goes quickest.
-                asking.sort(key=lambda one: (self.zones.asks_last(one), -one.kind.fetch_gb_per_s))
-            for machine in asking:
-                if now >= machine.hold_until or tier.rank <= machine.hold_rank:
-                    made += self._fill(machine, tier, score, now)
-        if tier.owed:
-            for job in sorted(tier.jobs, key=lambda one: one.uid):
-                if job.queued and now - job.since > OWED * self.report_s:
-                    self.preemption.for_guarantee(job, machines, now)
-        return made
-
-    def _old_first(self, ready: list[Tier], machines: list[Machine], now: float) -> list[Tier]:
-        """Put a part of the room aside for jobs that have waited for long, after production replicas.
-
-        Least work first would let large jobs wait for ever while small ones keep coming, and rank the low ranks. Half
-        of that part goes to first tasks of jobs of which nothing has begun, half by age, whatever the rank.
-        """
-        by_age: dict[int, set[Job]] = {}
-        for job in (job for tier in ready for job in tier.jobs):
-            if self.estimates.old(job, now):
-                by_age.setdefault(self.estimates.age(job), set()).add(job)
-        if not by_age:
-            return ready
-        self.firsts.limit = self.eldest.limit = OLD_SHARE / 2 * sum(machine.kind.cpus for machine in machines)
-        unbegun = {job for jobs in by_age.values() for job in jobs if not job.begun}
-        old = [Tier(False, unbegun, self.firsts, first_only=True)] if unbegun else []
-        old += [Tier(False, by_age[age], self.eldest) for age in sorted(by_age)]
-        first = next((n for n, tier in enumerate(ready) if tier.rank > 0), len(ready))
-        return [*ready[:first], *old, *ready[first:]]
-
-    def _deal(self, machines: list[Machine]) -> None:
-        fit: dict[Shape, list[Machine]] = {}
-        for job in self.jobs.values():
-            if job.final is None and not job.waits:
-                while job.next_block < job.blocks and job.queued + len(job.undealt) < job.block:
-                    job.open_next()
-                if job.undealt:
-                    if job.shape not in fit:
-                        fit[job.shape] = [machine for machine in machines if machine.allows(job.spec)]
-                    self.queues.deal(job, fit[job.shape])
-
-    def _fill(self, machine: Machine, tier: Tier, score: int, now: float) -> int:
-        def allowed(spec: JobSpec) -> bool:
-            # The limit is asked anew for every claim: jobs of one team in one tier share what is left of it.
-            if tier.share is not None and not tier.share.allows(spec.cpus):
-                return False
-            return self.teams.room(spec) > 0 and (not tier.owed or self.teams.guaranteed(spec))
-
-        def may_go(job: Job) -> bool:
-            if job.failed_hosts.get(machine.host, now) > now or not self.zones.admits(machine, job):
-                return False
-            return score == 1 or self.preemption.may_go_to(job, machine, now)
-
-        made = 0
-        while (jobs := tier.eligible(machine, score, allowed, may_go)) and (pulled := self.queues.pull(machine, jobs)):
-            job, index, owner = pulled
-            if index in job.claims or index in job.finished or job.waits:
-                # Whatever the queues say: a task whose claim binds, that is done, or whose job waits is never claimed.
-                log.error("task %s: was queued though it needs no start", task_name((job.uid, index)))
-                continue
-            claim = self.claim(job, index, machine, owner, now)
-            if tier.share is not None:
-                claim.share = tier.share
-                tier.share.held += job.spec.cpus
-            made += 1
-        return made
-
     # -- machines ----------------------------------------------------------------------------------------------
 
     def avoid(self, job: Job, machine: Machine, now: float) -> None:
@@ -482,9 +374,9 @@
 
     def sweep(self, now: float) -> list[str]:
         """What time alone decides. Answers the machines that have to be deleted to free what they hold."""
-        self.detector.look(now)
+        self.detector.observe(now)
         self.zones.observe(self.detector.zones, now)
-        suspect = [machine for machine in self.machines.values() if not self.detector.well(machine, now)]
+        suspect = [machine for machine in self.machines.values() if not self.detector.needs_no_decision(machine, now)]
         for machine in suspect:
             self._check_suspect(machine, now)
         for job in self.jobs.values():
@@ -505,7 +397,7 @@
         if machine.queue and not machine.usable(now, SILENT * self.report_s):
             self.queues.withdraw(machine)
             self.changed = True
-        why = self.detector.why(machine, now)
+        why = self.detector.reason_to_delete(machine, now)
         if why and not machine.deleting:
             log.warning("machine %s: to be deleted: %s", machine.host, why)
             machine.deleting = True
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -59,7 +59,7 @@
         if lost_all:
             self.scheduler.zones.restarted(machine)
         if report.tenure > machine.tenure:
-            machine.doubts.clear()  # orders of an earlier session are refused from now on
+            machine.unanswered_launches.clear()  # orders of an earlier session are refused from now on
             recently = heard_before is not None and now - heard_before < self.scheduler.lease_s / 2
             if recently and answered_before is not None:
                 # We heard it all the time and answered, and still its lease has run out.
@@ -79,8 +79,8 @@
         newest = machine.answered is None or order > machine.answered  # not a late copy
         if report.epoch == scheduler.epoch and newest:
             machine.reported_at = now
-            if machine.mute:
-                machine.mute, scheduler.changed = False, True
+            if machine.cannot_report:
+                machine.cannot_report, scheduler.changed = False, True
         machine.answered = max(order, machine.answered or order)
 
     def _note_sign_of_life(self, machine: Machine, accepted: bool, now: float) -> None:
@@ -123,7 +123,7 @@
                 lost = lost or (sent == report.tenure and claim.sent_tenure is None)
         if lost:
             self.ignored(machine, 1, now)
-        if machine.deaf_since is not None:
+        if machine.not_hearing_since is not None:
             for claim in [one for one in machine.claims.values() if scheduler.unsent(one, machine)]:
                 scheduler.end(claim, False, now)
 
@@ -133,9 +133,9 @@
         Once may be chance; more often, our words don't reach it, however well its reports reach us. It gets no work
         then, what can be ended there ends, and it is replaced unless it hears again.
         """
-        machine.unheeded += signs
-        if machine.unheeded >= DEAF and machine.deaf_since is None:
-            machine.deaf_since = now
+        machine.ignored_signs += signs
+        if machine.ignored_signs >= DEAF and machine.not_hearing_since is None:
+            machine.not_hearing_since = now
             log.warning("machine %s: reports, but does not hear us", machine.host)
             self.scheduler.queues.withdraw(machine)
             self.scheduler.changed = True
@@ -151,10 +151,10 @@
                 return True
             # Refused by the machine. Stopped meanwhile, it has nothing left to wait for; but what answers our own call
             # may be older than what the machine was told in answer to a report.
-            return claim.stopping is not None and answering and claim.attempt not in machine.doubts
+            return claim.stopping is not None and answering and claim.attempt not in machine.unanswered_launches
         if claim.sent_tenure != report.tenure:
             return True  # the session it was sent to is over, and orders of that session are refused
-        if claim.attempt in machine.doubts or not answering or report.tick <= claim.sent_tick:
+        if claim.attempt in machine.unanswered_launches or not answering or report.tick <= claim.sent_tick:
             return False  # a copy may still arrive
         # The launch went with the answer to an earlier report. The worker has one report in flight at a time and
         # drops late answers, so that answer is lost; nothing else can bring this attempt to life but a new launch.
@@ -165,7 +165,7 @@
     def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
         scheduler, job = self.scheduler, claim.job
         if (claim.phase is None and not claim.inherited) or (claim.stopping and rung.phase in ("flushing", "exited")):
-            machine.heeds()  # a launch or a stop of ours shows
+            machine.confirm_hearing()  # a launch or a stop of ours shows
         claim.sent_tenure = machine.tenure
         inherited, claim.inherited = claim.inherited, False
         if rung.phase != "exited":
@@ -236,7 +236,7 @@
         if attempt == claim.attempt:
             return []
         if attempt is not None:
-            if attempt in machine.doubts and claim.sent_tenure is None:
+            if attempt in machine.unanswered_launches and claim.sent_tenure is None:
                 # The old attempt has to stay listed, as it shields against its own late copies.
                 self.scheduler.avoid(claim.job, machine, now)
                 self.scheduler.end(claim, False, now)
@@ -245,7 +245,7 @@
             return []
         claim.sent_tenure, claim.sent_at = machine.tenure, now
         if tick is None:
-            machine.doubts[claim.attempt] = machine.doubts.get(claim.attempt, 0) + 1
+            machine.unanswered_launches[claim.attempt] = machine.unanswered_launches.get(claim.attempt, 0) + 1
         claim.sent_tick = machine.tick if tick is None else tick
         return [Order.launch(claim.task, claim.attempt)]
 
@@ -259,14 +259,14 @@
             if phase != "exited":
                 # No claim stands for it. That can't be ours to want, so it has to go.
                 result.append(Order.stop(task, attempt, 0.0))
-            elif attempt not in machine.doubts and self._settled(task):
+            elif attempt not in machine.unanswered_launches and self._settled(task):
                 result.append(Order.reap(task, attempt))
         return result
 
     @staticmethod
     def _lost(machine: Machine, claim: Claim, listed: int | None) -> bool:
         """Whether a stop can't show, as the launch before it does not. A cancelled task is never launched anew."""
-        return listed is None and claim.attempt in machine.doubts and claim.job.final is None
+        return listed is None and claim.attempt in machine.unanswered_launches and claim.job.final is None
 
     def _wind_down(self, claim: Claim) -> float:
         spec = claim.job.spec
@@ -282,11 +282,11 @@
     def answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
         """An /orders call was answered. Only then is it known that no copy of it is under way."""
         if executed:
-            machine.heeds()
+            machine.confirm_hearing()
         for attempt in attempts:
-            left = machine.doubts.pop(attempt, 0) - 1
+            left = machine.unanswered_launches.pop(attempt, 0) - 1
             if left > 0:
-                machine.doubts[attempt] = left
+                machine.unanswered_launches[attempt] = left
         if not executed:
             for claim in machine.claims.values():
                 if claim.attempt in attempts:
--- a/ladderfield/leader/test_large_fleet.py
+++ b/ladderfield/leader/test_large_fleet.py
@@ -72,7 +72,7 @@
     assert not scheduler.machines, "a late report of any of them counts for nothing"
     for number in range(2 * MACHINES):
         scheduler.cancelled(f"req-{number:06}", 1.0, 1.0)
-    assert len(scheduler.heard) == 2 * MACHINES
+    assert len(scheduler.cancellations_heard) == 2 * MACHINES
 
 
 async def test_lists_of_a_large_fleet_leave_the_cloud_free_for_rentals(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/ladderfield/leader/test_sessions.py
+++ b/ladderfield/leader/test_sessions.py
@@ -36,7 +36,7 @@
     machine, order = launched_by_push(harness)
     harness.scheduler.sessions.orders(machine, 9.0, None)
     harness.scheduler.sessions.answered(machine, [order["try"]], True)
-    assert machine.doubts == {order["try"]: 1}
+    assert machine.unanswered_launches == {order["try"]: 1}
 
 
 def test_a_new_session_ends_claims_of_the_old_one_but_not_unsent_ones() -> None:
--- a/ladderfield/leader/test_stranded.py
+++ b/ladderfield/leader/test_stranded.py
@@ -54,7 +54,7 @@
             elif listed.get(told["rung"], {}).get("try") == told["try"]:
                 listed[told["rung"]] |= {"phase": "exited", "cause": "stopped"}
         if step == 10 and answer is None:
-            assert machine.doubts == {order["try"]: 1}, "the copy may still come"
+            assert machine.unanswered_launches == {order["try"]: 1}, "the copy may still come"
         harness.report("other", now=2.0 + step)
         harness.record(2.0 + step)
         if harness.scheduler.jobs["req-000001"].claims[0].attempt != order["try"]:
@@ -178,20 +178,22 @@
                 users.start_soon(one, number)
                 await trio.sleep(0.25)
                 (scheduler,) = desks
-                most = max(most, len(scheduler.jobs) + len(scheduler.spent) + len(scheduler.pages.pages))
+                most = max(most, len(scheduler.jobs) + len(scheduler.clearable_records) + len(scheduler.pages.pages))
         assert most < 20 * 4, "twenty seconds' worth, of which a task takes five"
         await trio.sleep(20)
         assert not [key for key in whole.state.keys if key.startswith("lf/j/")]
         assert not (
             scheduler.jobs
             or scheduler.cancelled_at
-            or scheduler.spent
+            or scheduler.clearable_records
             or scheduler.complete
             or scheduler.unsettled
             or scheduler.unrecorded
         )
         assert all(page.size < 100 for page in scheduler.pages.pages)
-        assert not any(machine.claims or machine.queue or machine.doubts for machine in scheduler.machines.values())
+        assert not any(
+            machine.claims or machine.queue or machine.unanswered_launches for machine in scheduler.machines.values()
+        )
 
 
 def test_pages_keep_nothing_of_a_job_that_is_cancelled_half_done() -> None:
@@ -204,7 +206,7 @@
     harness.report(rungs=(rung(1, attempt + 1, "exited", "stopped"),), now=3.0)
     harness.record()
     assert harness.scheduler.pages.pages[0].size < empty and not harness.scheduler.pages.pages[0].value()
-    assert not (harness.scheduler.jobs or harness.scheduler.cancelled_at or harness.scheduler.spent)
+    assert not (harness.scheduler.jobs or harness.scheduler.cancelled_at or harness.scheduler.clearable_records)
 
 
 def test_the_room_of_machines_that_can_not_report_is_rented_anew_unless_most_are_so() -> None:
@@ -219,6 +221,6 @@
             harness.report(host, now=10.0)
         harness.machine().fresh_at = 10.0  # it answers what we send
         harness.scheduler.sweep(10.0)
-        assert harness.machine().mute
+        assert harness.machine().cannot_report
         waiting = harness.scheduler.jobs["req-000001"].waiting
         assert sum(one.count for one in Planner(harness.scheduler).rentals(10.0)) == waiting - 1 + rented
--- a/ladderfield/leader/test_unheard.py
+++ b/ladderfield/leader/test_unheard.py
@@ -23,7 +23,7 @@
 
 
 def deaf(harness: SchedulerHarness, host: str = "m") -> bool:
-    return harness.machine(host).deaf_since is not None
+    return harness.machine(host).not_hearing_since is not None
 
 
 def test_launches_that_never_appear_show_that_a_machine_does_not_hear() -> None:
@@ -182,7 +182,7 @@
         machine.heard_at, machine.relayed = heard_at, relayed
         for _ in range(3):
             leader._on_orders_answered(OrdersAnswered("m", [], False, None), 100.0)
-        assert (machine.deaf_since is not None) == deaf_then
+        assert (machine.not_hearing_since is not None) == deaf_then
 
 
 def test_a_claim_whose_launch_may_still_arrive_does_not_end_on_a_deaf_machine_or_by_a_stop() -> None:
@@ -190,7 +190,7 @@
     machine, order = launched_by_push(harness)
     harness.scheduler.sessions.orders(machine, 9.0, None)
     harness.scheduler.sessions.answered(machine, [order["try"]], False)
-    assert machine.doubts == {order["try"]: 1}, "one copy was refused, the other is still out"
+    assert machine.unanswered_launches == {order["try"]: 1}, "one copy was refused, the other is still out"
     harness.scheduler.sessions.ignored(machine, 2, 9.0)
     harness.report(now=10.0)
     harness.scheduler.stop(machine.claims["req-000001", 0], "cancelled", 10.0)
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -108,6 +108,7 @@
         "errors",
         "failed_hosts",
         "final",
+        "final_seen",
         "finished",
         "finished_s",
         "held",
@@ -119,7 +120,6 @@
         "shape",
         "since",
         "spec",
-        "told",
         "uid",
         "undealt",
         "unsettled",
@@ -133,9 +133,9 @@
         self.since = at  # when the last of them was done: from then on its wait counts
         self.due: tuple[float, float] | None = None  # time of day, and seconds allowed, for those that wait for it
         self.ended_at: float | None = None  # when its last task ended
-        self.records: list[Record] = []  # one, or more after a retry at another door
+        self.records: list[Record] = []  # one, or more after a retry at another controller
         self.final: str | None = None  # once on record
-        self.told = False  # the view has told so too; all records that name the job came before that
+        self.final_seen = False  # the view has told so too; all records that name the job came before that
         self.blocks = block_count(spec.tasks, block)
         self.next_block = 0  # blocks are opened in order, as there is use for them
         self.undealt: list[int] = []  # tasks of opened blocks, in no machine's queue
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -23,12 +23,11 @@
         "blamed",
         "born_at",
         "cached",
+        "cannot_report",
         "claims",
         "cpus",
-        "deaf_since",
         "deleting",
         "detour_at",
-        "doubts",
         "endpoint",
         "epoch",
         "finished",
@@ -39,10 +38,12 @@
         "hold_until",
         "host",
         "idle_since",
+        "ignored_signs",
         "kind",
         "listed",
         "memory_gb",
-        "mute",
+        "not_hearing_since",
+        "preemptible",
         "queue",
         "recall_at",
         "relayed",
@@ -51,11 +52,10 @@
         "reported_at",
         "seen",
         "sick",
-        "soft",
         "spot",
         "tenure",
         "tick",
-        "unheeded",
+        "unanswered_launches",
         "up_at",
         "zone",
     )
@@ -67,21 +67,23 @@
         self.up_at: float | None = None  # first report taken in, in this term
         self.fresh_at: float | None = None  # last report that shows our epoch: no copy from before this term can
         self.reported_at: float | None = None  # last time that it came by itself, with our epoch
-        self.mute = False  # it answers what we send, but has not come by itself for too long
+        self.cannot_report = False  # it answers what we send, but has not come by itself for too long
         self.answered_at: float | None = None  # last report answered, in this term
         self.answered: tuple[int, int] | None = None  # tenure and tick of the newest of these
-        self.unheeded = 0  # signs in a row that what we tell it does not arrive
-        self.deaf_since: float | None = None  # since these were enough to believe it
+        self.ignored_signs = 0  # signs in a row that what we tell it does not arrive
+        self.not_hearing_since: float | None = None  # since these were enough to believe it
         self.relayed = False  # its last report came by way of another controller
         self.detour_at = -math.inf  # since when that has been so, or was last
         self.tenure = self.tick = self.epoch = 0
         self.recall_at: float | None = None
         self.claims: dict[TaskId, Claim] = {}
         self.seen: dict[TaskId, tuple[int, str]] = {}  # as last reported: attempt, phase
-        self.doubts: dict[int, int] = {}  # attempts of this session with so many unanswered launches by /orders
+        self.unanswered_launches: dict[
+            int, int
+        ] = {}  # attempts of this session with so many unanswered launches by /orders
         self.queue: dict[Job, deque[int]] = {}
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb  # free
-        self.soft = [0.0, 0.0, 0.0]  # cpus, gpus, memory held by array tasks below production rank
+        self.preemptible = [0.0, 0.0, 0.0]  # cpus, gpus, memory held by array tasks below production rank
         self.replicas = self.replicas_low = 0  # claims of services, and of those below production rank
         self.cached: dict[str, float] = {}  # images that ran here, oldest use first
         self.finished = 0
@@ -117,9 +119,9 @@
     def could_clear(self, spec: JobSpec) -> bool:
         """Whether one more production task might fit if all lower ranks left."""
         return self.replicas_low > 0 or (
-            spec.cpus <= self.cpus + self.soft[0] + SLACK
-            and spec.memory_gb <= self.memory_gb + self.soft[2] + SLACK
-            and spec.gpus <= self.gpus + self.soft[1] + SLACK
+            spec.cpus <= self.cpus + self.preemptible[0] + SLACK
+            and spec.memory_gb <= self.memory_gb + self.preemptible[2] + SLACK
+            and spec.gpus <= self.gpus + self.preemptible[1] + SLACK
         )
 
     def _count(self, claim: Claim, by: int) -> None:
@@ -131,9 +133,9 @@
         if claim.job.order[0] > 0 and spec.service:
             self.replicas_low += by
         elif claim.job.order[0] > 0:
-            self.soft[0] += by * spec.cpus
-            self.soft[1] += by * spec.gpus
-            self.soft[2] += by * spec.memory_gb
+            self.preemptible[0] += by * spec.cpus
+            self.preemptible[1] += by * spec.gpus
+            self.preemptible[2] += by * spec.memory_gb
 
     def take(self, claim: Claim) -> None:
         """Bind room for a claim."""
@@ -148,7 +150,7 @@
         if not self.claims:
             # Nothing is left of what rounding has gathered.
             self.cpus, self.gpus, self.memory_gb = self.kind.cpus, self.kind.gpus, self.kind.memory_gb
-            self.soft = [0.0, 0.0, 0.0]
+            self.preemptible = [0.0, 0.0, 0.0]
             self.idle_since = now
 
     def use_image(self, image: str, size_gb: float) -> None:
@@ -168,8 +170,8 @@
             self.fresh_at is not None
             and now - self.fresh_at <= silence_s
             and self.recall_at is None
-            and self.deaf_since is None
-            and not (self.deleting or self.sick or self.mute)
+            and self.not_hearing_since is None
+            and not (self.deleting or self.sick or self.cannot_report)
         )
 
     def silent_for(self, now: float, term_from: float) -> float:
@@ -185,9 +187,9 @@
             self.detour_at = now
         self.relayed = relayed
 
-    def heeds(self) -> None:
+    def confirm_hearing(self) -> None:
         """Something that we told it has arrived."""
-        self.unheeded, self.deaf_since = 0, None
+        self.ignored_signs, self.not_hearing_since = 0, None
 
     def lease_over_at(self, epoch: int, term_from: float, others_until: float, lease_s: float) -> float:
         """When its lease is surely over.
--- a/ladderfield/zones/test_returns.py
+++ b/ladderfield/zones/test_returns.py
@@ -542,3 +542,27 @@
     fleet.pass_time(3.0)
     zones = fleet.leader.scheduler.zones
     assert isinstance(zones, ZoneCoordinator) and not zones.return_log.returned
+
+
+async def test_services_of_several_teams_at_their_limits() -> None:
+    """A team at its limit keeps no other waiting, and gets its own back when its zone returns."""
+    fleet = started(machines=15)
+    watch_services_first(fleet)
+    portal(fleet, 4, owner="red", cores=4.0, memoryGb=16.0)  # 16 cores, which is all that the team may use
+    portal(fleet, 2, "req-000010", owner="red", cores=4.0, memoryGb=16.0)
+    portal(fleet, 4, "req-000011", yard="zc")
+    batch(fleet, 16)
+    fleet.pass_time(6.0)
+    assert count(fleet, PORTAL) + count(fleet, "req-000010") == 4
+    fleet.cut("zc")
+    fleet.pass_time(AWAY_S)
+    fleet.cut()
+
+    def within_limit() -> None:
+        red = [name for name in fleet.running() if name.startswith((PORTAL, "req-000010"))]
+        assert len(red) <= 4
+
+    fleet.checks.append(within_limit)
+    fleet.pass_time(HOLD_MOST_S + 10.0)
+    assert count(fleet, PORTAL) + count(fleet, "req-000010") == 4
+    assert count(fleet, "req-000011", "zc") == 4 and count(fleet, RECALC) == 16
