--- a/ladderfield/testing/cloud_service.py
+++ b/ladderfield/testing/cloud_service.py
@@ -42,7 +42,7 @@
                 self.hosts.pop(host, None)
                 if host in self.workers:
                     self.workers[host].dead = True
-                    self.workers[host].rungs.clear()
+                    self.workers[host].lose_all()
             return Reply(200, {})
         if body["hire"] not in self.hires:
             count = min(body["howMany"], self.capacity - len(self.hosts))
--- a/ladderfield/testing/cluster.py
+++ b/ladderfield/testing/cluster.py
@@ -21,6 +21,7 @@
 from ladderfield.peers import BackServer, PeerLink
 from ladderfield.server import Controller
 from ladderfield.testing import CloudService, Network, StateService, Worker, job, settings
+from ladderfield.testing.network import origin
 from ladderfield.zones.options import ZoneOptions
 
 
@@ -61,6 +62,7 @@
 
     async def _run(self, number: int) -> None:
         own = settings(number)
+        origin.set(own.bind.partition(":")[0])
         with trio.CancelScope() as scope:
             self.scopes[number] = scope
             controller = self.controllers[number] = Controller(own, self.zone_options)
--- a/ladderfield/testing/network.py
+++ b/ladderfield/testing/network.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any
+from contextvars import ContextVar
+from typing import Any, NamedTuple
 
 import trio
 import trio.testing
@@ -11,6 +13,14 @@
 from ladderfield.http import Reply, Request, Server
 
 Handler = Callable[[Request], Awaitable[Reply]]
+origin: ContextVar[str] = ContextVar("origin", default="")  # the host on which the present task runs
+
+
+class Link(NamedTuple):
+    """One direction between two hosts."""
+
+    source: str
+    target: str
 
 
 class Network:
@@ -21,6 +31,9 @@
         self.serving: dict[tuple[str, int], Callable[[Any], Awaitable[None]]] = {}
         self.cut: set[str] = set()
         self.cut_ports: set[tuple[str, int]] = set()  # the same for single ports
+        self.silent: set[Link] = set()  # what is sent there waits until it is mended
+        self.refused: set[Link] = set()  # connections are reset, and refused
+        self.mended = trio.Event()
         self._open: dict[tuple[str, int], list[trio.CancelScope]] = {}  # connections, by whom they lead to
 
     def listen(self, text: str, serve: Callable[[Any], Awaitable[None]]) -> None:
@@ -34,6 +47,11 @@
 
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
         """Stands for ``ladderfield.http.connect``."""
+        link = Link(origin.get(), host)
+        if link in self.refused or Link(host, link.source) in self.refused:
+            raise OSError("refused")
+        await self.passes(link)
+        await self.passes(Link(host, link.source))
         if host in self.cut or (host, port) in self.cut_ports:
             await trio.sleep_forever()
         if (host, port) not in self.serving:
@@ -41,10 +59,27 @@
         ours, theirs = trio.testing.memory_stream_pair()
         scope = trio.CancelScope()
         self._open.setdefault((host, port), []).append(scope)
-        self.nursery.start_soon(self._serve, self.serving[host, port], theirs, scope)
-        return ours
+        self.nursery.start_soon(self._serve, host, self.serving[host, port], theirs, scope)
+        return LinkedStream(ours, self, link)
 
-    async def _serve(self, serve: Callable[[Any], Awaitable[None]], stream: Any, scope: trio.CancelScope) -> None:
+    async def passes(self, link: Link) -> None:
+        """Wait until what is sent in this direction arrives; OSError if it is reset."""
+        while link in self.silent:
+            await self.mended.wait()
+        if link in self.refused:
+            raise OSError("reset")
+
+    def mend(self) -> None:
+        """All links are whole again; what was held goes on."""
+        self.silent.clear()
+        self.refused.clear()
+        self.mended.set()
+        self.mended = trio.Event()
+
+    async def _serve(
+        self, host: str, serve: Callable[[Any], Awaitable[None]], stream: Any, scope: trio.CancelScope
+    ) -> None:
+        origin.set(host)
         with scope:
             await serve(stream)
         await trio.aclose_forcefully(stream)
@@ -55,3 +90,30 @@
         self.serving.pop((host, int(port)), None)
         for scope in self._open.pop((host, int(port)), ()):
             scope.cancel()
+
+
+class LinkedStream(trio.abc.Stream):
+    """The asking side of a connection, which a cut holds up or resets in either direction."""
+
+    def __init__(self, stream: trio.abc.Stream, network: Network, link: Link) -> None:
+        self.stream, self.network, self.link = stream, network, link
+
+    async def send_all(self, data: Any) -> None:
+        """Send, once the way there is open."""
+        await self.network.passes(self.link)
+        await self.stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """As the stream itself."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        """Receive, once the way back is open."""
+        data = await self.stream.receive_some(max_bytes)
+        await self.network.passes(Link(self.link.target, self.link.source))
+        return data
+
+    async def aclose(self) -> None:
+        """Close."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.stream.aclose()
--- a/ladderfield/testing/worker.py
+++ b/ladderfield/testing/worker.py
@@ -10,7 +10,7 @@
 import trio
 
 from ladderfield.http import Client, Reply, Request
-from ladderfield.testing.network import Network
+from ladderfield.testing.network import Network, origin
 
 
 class Worker:
@@ -28,6 +28,7 @@
         self.rungs: dict[str, dict[str, Any]] = {}
         self.ends: dict[str, float] = {}
         self.log: list[tuple[float, str, int]] = []
+        self.ended: list[tuple[float, str, int]] = []  # when each attempt left the machine
         self.held: list[dict[str, Any]] = []  # /orders kept back while ``hold`` is set
         self.hold = False
         self.hung_until = -math.inf  # it does nothing until then; what reached it meanwhile is carried out late
@@ -50,7 +51,8 @@
         if trio.current_time() < self.hung_until:
             return
         if trio.current_time() - self.answered > self.lease_s:
-            self.tenure, self.tick, self.rungs = self.tenure + 1, 0, {}
+            self.lose_all()
+            self.tenure, self.tick = self.tenure + 1, 0
             self.answered = trio.current_time()
         for name, rung in self.rungs.items():
             if rung["phase"] == "fetching" and trio.current_time() >= self.ends[name]:
@@ -58,6 +60,18 @@
                 self.ends[name] = self._end_of(name)
             if rung["phase"] == "running" and trio.current_time() >= self.ends[name]:
                 rung |= {"phase": "exited", "cause": "error" if name.split("/")[0] in self.fail else "done"}
+                self._leaves(name)
+
+    def _leaves(self, name: str) -> None:
+        """An attempt is no longer on the machine."""
+        self.ended.append((trio.current_time(), name, self.rungs[name]["try"]))
+
+    def lose_all(self) -> None:
+        """The lease has run out, or the machine is gone."""
+        for name, rung in self.rungs.items():
+            if rung["phase"] != "exited":
+                self._leaves(name)
+        self.rungs = {}
 
     def _end_of(self, name: str) -> float:
         """When a task that begins to run now ends."""
@@ -85,6 +99,7 @@
             elif rung is not None and rung["try"] == attempt:
                 if order["verb"] == "stop" and rung["phase"] != "exited":
                     rung |= {"phase": "exited", "cause": "stopped"}
+                    self._leaves(name)
                 elif order["verb"] == "reap" and rung["phase"] == "exited":
                     del self.rungs[name]
         return True
@@ -118,6 +133,7 @@
 
     async def run(self) -> None:
         """Report for ever."""
+        origin.set(self.address)
         node = 0
         while True:
             await trio.sleep(self.pace_s)
