--- a/ladderfield/leader/scheduler.py
+++ b/ladderfield/leader/scheduler.py
@@ -365,9 +365,11 @@
         if machine is None:
             return
         self.queues.withdraw(machine)
+        silent = machine.silent_for(now, self.term_from) > SILENT * self.report_s
+        # One that had nothing to do was no loss: silent machines are returned first where there is ample room.
+        self.zones.forgotten(machine, silent and bool(machine.claims), now)
         for claim in list(machine.claims.values()):
             self.end(claim, False, now)
-        self.zones.forgotten(machine, machine.silent_for(now, self.term_from) > SILENT * self.report_s, now)
         del self.machines[host]
         self.changed = True
         log.info("machine %s: deleted", host)
--- a/ladderfield/zones/coordinator.py
+++ b/ladderfield/zones/coordinator.py
@@ -238,10 +238,10 @@
         if health is not None:
             health.lost_since += 1
 
-    def forgotten(self, machine: Machine, silent: bool, now: float) -> None:
-        """A machine is gone for good; one that was silent went with its zone."""
+    def forgotten(self, machine: Machine, lost: bool, now: float) -> None:
+        """A machine is gone for good; one that was silent and had work went with its zone."""
         health = self.healths.get(machine.zone)
-        if silent and health is not None:
+        if lost and health is not None:
             health.lost_since += 1
 
 
--- a/ladderfield/zones/policy.py
+++ b/ladderfield/zones/policy.py
@@ -63,5 +63,5 @@
     def restarted(self, machine: Machine) -> None:
         """A machine came back with a new session: its lease had run out, and all that it ran is lost."""
 
-    def forgotten(self, machine: Machine, silent: bool, now: float) -> None:
-        """A machine is gone for good."""
+    def forgotten(self, machine: Machine, lost: bool, now: float) -> None:
+        """A machine is gone for good; ``lost``: it was silent, and had work."""
--- a/ladderfield/zones/test_returns.py
+++ b/ladderfield/zones/test_returns.py
@@ -167,6 +167,20 @@
     assert health(fleet) is ZoneState.PROBATION and count(fleet, RECALC, "zc") == 0
 
 
+async def test_idle_machines_that_are_returned_while_silent_are_no_loss() -> None:
+    """Trace of days/flapping-zone-cascade.toml, seed 64: a zone was called lost 7 s after it fell silent."""
+    fleet = started()
+    portal(fleet, 1, yard="zc")
+    fleet.pass_time(3.0)
+    fleet.cut("zc")
+    fleet.pass_time(6.0)
+    assert health(fleet) is ZoneState.SUSPECTED
+    idle = [worker.host for worker in fleet.workers if worker.cut and not worker.rungs]
+    fleet._replace(idle)
+    fleet.pass_time(1.0)
+    assert health(fleet) is not ZoneState.LOST and len(idle) == 3
+
+
 async def test_a_machine_that_reports_before_its_zone_is_looked_at_gets_no_batch() -> None:
     """Reports and passes come many times between two looks at the zones."""
     fleet = started()
