--- a/ladderfield/cli.py
+++ b/ladderfield/cli.py
@@ -43,7 +43,6 @@
 )
 @click.option(
     options.ZONE_ORDER,
-    "zone_orders",
     nargs=2,
     multiple=True,
     metavar="ZONE ORDER",
@@ -57,7 +56,6 @@
 )
 @click.option(
     options.WINDOW,
-    "zone_windows",
     nargs=4,
     multiple=True,
     metavar="NAME DAYS FROM TO",
@@ -70,9 +68,9 @@
     config: Path,
     log_level: str,
     zone_order: str | None,
-    zone_orders: tuple[tuple[str, str], ...],
+    zone_order_of: tuple[tuple[str, str], ...],
     zone_probation: float | None,
-    zone_windows: tuple[tuple[str, str, str, str], ...],
+    zone_window: tuple[tuple[str, str, str, str], ...],
     zone_time_zone: str | None,
     zone_holidays: str | None,
 ) -> None:
@@ -84,7 +82,7 @@
     )
     try:
         settings = load(config)
-        flags = options.ZoneFlags(zone_order, zone_orders, zone_probation, zone_windows, zone_time_zone, zone_holidays)
+        flags = options.ZoneFlags(zone_order, zone_order_of, zone_probation, zone_window, zone_time_zone, zone_holidays)
         zone_options = options.check(flags, settings.cluster.zones, settings.cluster.clock_off_ms / 1000)
     except (SettingsError, options.ZoneOptionError) as error:
         click.echo(f"ladderfield: {error}", err=True)
--- a/ladderfield/zones/test_options.py
+++ b/ladderfield/zones/test_options.py
@@ -92,6 +92,24 @@
     assert line.startswith(f"ladderfield: {flag}: "), line
 
 
+@pytest.mark.parametrize(
+    ("variable", "value", "flag"),
+    [
+        ("ZONE_WINDOW", "w mon 09:00 06:00 x tue 06:00 07:00", "--zone-window"),
+        ("ZONE_ORDER_OF", f"zx {ORDER}", "--zone-order-of"),
+        ("ZONE_PROBATION", "-1", "--zone-probation"),
+        ("ZONE_TIME_ZONE", "Mars/Base", "--zone-time-zone"),
+    ],
+)
+def test_each_flag_is_a_variable_of_its_name(tmp_path: Path, variable: str, value: str, flag: str) -> None:
+    config = tmp_path / "settings.json"
+    config.write_text(json.dumps(SETTINGS))
+    names = {"ZONE_ORDER": ORDER, "ZONE_TIME_ZONE": "UTC", "ZONE_WINDOW": "w mon 06:00 07:00"} | {variable: value}
+    env = {f"LADDERFIELD_SERVE_{name}": text for name, text in names.items()}
+    result = CliRunner().invoke(main, ["serve", "--config", str(config)], env=env, auto_envvar_prefix="LADDERFIELD")
+    assert result.exit_code == 2 and result.output.startswith(f"ladderfield: {flag}: ")
+
+
 def test_a_window_on_an_ordinary_day() -> None:
     one = calendar()
     monday = "2026-06-01T"  # 01:15 in New York is 05:15 in UTC
