--- a/ladderfield/cancellation_sync.py
+++ b/ladderfield/cancellation_sync.py
@@ -25,13 +25,13 @@
 
 import trio
 
+from ladderfield.clocks import CLOCKS
 from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.model import valid_uid
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import BODY_MOST, CANCELLATION_NOTICE, CANCELLATION_QUERY, PeerLink
 from ladderfield.rollout import CANCELLATION_SYNC, level_of
 from ladderfield.view import View
-from ladderfield.workers.machine import CLOCKS
 
 log = logging.getLogger(__name__)
 
--- a/ladderfield/cli.py
+++ b/ladderfield/cli.py
@@ -11,6 +11,8 @@
 import trio
 
 from ladderfield import __version__
+from ladderfield.connectivity import options as reach_options
+from ladderfield.flags import FlagError
 from ladderfield.settings import SettingsError, load
 from ladderfield.zones import options
 
@@ -64,6 +66,23 @@
 )
 @click.option(options.TIME_ZONE, metavar="NAME", help="Time zone of the windows, as Asia/Kuala_Lumpur.")
 @click.option(options.HOLIDAYS, metavar="COUNTRY", help="Whose public holidays count, as MY or MY-10.")
+@click.option(
+    reach_options.BY_REACH,
+    is_flag=True,
+    help="A leader that no worker reaches makes way for a controller that workers do reach.",
+)
+@click.option(
+    reach_options.TENURE,
+    type=float,
+    metavar="SECONDS",
+    help="No leader makes way earlier.  [default: a worker's lease]",
+)
+@click.option(
+    reach_options.STAND_BACK,
+    type=float,
+    metavar="SECONDS",
+    help="How long a controller that reaches no worker lets others go first.  [default: 2 report intervals]",
+)
 def serve(
     config: Path,
     log_level: str,
@@ -73,6 +92,9 @@
     zone_window: tuple[tuple[str, str, str, str], ...],
     zone_time_zone: str | None,
     zone_holidays: str | None,
+    leadership_by_reach: bool,
+    minimum_tenure: float | None,
+    stand_back: float | None,
 ) -> None:
     """Run one controller until it is killed."""
     logging.basicConfig(
@@ -84,7 +106,8 @@
         settings = load(config)
         flags = options.ZoneFlags(zone_order, zone_order_of, zone_probation, zone_window, zone_time_zone, zone_holidays)
         zone_options = options.check(flags, settings.cluster.zones, settings.cluster.clock_off_ms / 1000)
-    except (SettingsError, options.ZoneOptionError) as error:
+        reach = reach_options.check(leadership_by_reach, minimum_tenure, stand_back, settings.cluster.workers)
+    except (SettingsError, FlagError) as error:
         click.echo(f"ladderfield: {error}", err=True)
         raise SystemExit(2) from None
     from ladderfield.server import serve as run  # the settings are checked before the slow imports
@@ -92,4 +115,4 @@
     # What exists now lives as long as the process: no later collection should walk it again.
     gc.collect()
     gc.freeze()
-    trio.run(run, settings, zone_options)
+    trio.run(run, settings, zone_options, reach)
--- a/ladderfield/fleet/cloud.py
+++ b/ladderfield/fleet/cloud.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ladderfield.budget import Budget
+from ladderfield.connectivity.links import Exchange, exchange_of
 from ladderfield.http import Client, NoAnswerError, decode_object
 from ladderfield.settings import Settings, address
 
@@ -44,6 +45,8 @@
         self.budget = Budget(settings.cluster.cloud.rps * 0.8)
         self.idle_budget = Budget(settings.cluster.cloud.rps * 0.2 / settings.cluster.size)
 
+        self.observe: Callable[[Exchange], None] = lambda exchange: None  # told how each call ended
+
     async def _call(
         self, method: str, target: str, body: Any, urgent: bool = False, may: Callable[[], bool] | None = None
     ) -> tuple[int, dict[str, Any]]:
@@ -55,8 +58,10 @@
             status, data = await self._client.call(method, target, body, CALL_S)
             answer = decode_object(data) if data else {}
         except NoAnswerError as error:
+            self.observe(Exchange.LOST)
             await self._client.drop()
             raise CloudError(str(error)) from None
+        self.observe(exchange_of(status))
         if status == 429:
             self.budget.drain()
         return status, answer
--- a/ladderfield/jobs/api.py
+++ b/ladderfield/jobs/api.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import trio
+
+from ladderfield.connectivity.authority import Authority, Decision
 from ladderfield.http import Reply, Request
 from ladderfield.jobs.cancel import CancellationHandler
 from ladderfield.jobs.cancellations import Cancellations
@@ -17,7 +20,6 @@
 from ladderfield.jobs.lookup import JobLookup
 from ladderfield.jobs.responses import busy, wrong_method
 from ladderfield.jobs.submission import SubmissionHandler
-from ladderfield.peers import PeerLink
 from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient
@@ -41,10 +43,9 @@
         dependencies: DependencyGraph,
         rollout: Rollout,
         cancellations: Cancellations,
-        links: Mapping[str, PeerLink] | None = None,
+        authority: Callable[[], Authority] = Authority,
     ) -> None:
-        self.links = links or {}
-        self.state_ok = True  # whether the state service serves us; kept by the controller's health check
+        self.authority = authority
         self.lookup = JobLookup(view, dependencies)
         self.submissions = SubmissionHandler(settings, client, view, dependencies, rollout, self.lookup)
         self.cancellations = CancellationHandler(client, view, dependencies, self.lookup, cancellations)
@@ -70,19 +71,8 @@
 
     def _ready(self) -> Reply:
         """The answer to the load balancer."""
-        return busy(1) if self._alone() else Reply(200, {})
-
-    def _alone(self) -> bool:
-        """Whether users should go elsewhere.
-
-        The state service turns us away while it serves another controller, or we reach neither it nor any other.
-
-        In an outage for all, staying ready costs nothing, whereas each removal makes the load balancer pause longer
-        before it comes back. A controller that has just started and has no view yet is in the same place.
-        """
-        links = self.links.values()
-        cut_off = bool(links) and not any(link.reachable for link in links)
-        return not self.state_ok and (cut_off or any(link.state_ok for link in links))
+        serves = self.authority().allows(Decision.SERVE_USERS, trio.current_time())
+        return Reply(200, {}) if serves else busy(1)
 
     async def _bounded(self, handler: Callable[[Argument], Awaitable[Reply]], argument: Argument) -> Reply:
         """The handler's answer, unless too many requests are under way."""
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -14,6 +14,8 @@
 
 import trio
 
+from ladderfield.connectivity.authority import Decision, EpochJudgement
+from ladderfield.connectivity.reachability import Reachability
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.cloud_tasks import CloudTasks
@@ -35,6 +37,7 @@
     TransactionAnswered,
     WriterReady,
 )
+from ladderfield.leader.resignation import Resignation
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leader.scheduling_pass import OVERDUE
 from ladderfield.leader.writer import Writer
@@ -51,7 +54,6 @@
 
 INBOX_SHARE = 1.0  # of the sockets: every connection may bring a report at once, as a whole fleet does after a takeover
 INBOX_LEAST = 256  # messages
-ELECTION = 0.05  # of a leader's lease: no two elections are closer together
 PASS_SHARE = 0.2  # of the loop's time, at most: passes of scheduling
 IDLE_PASS_SHARE = 0.05  # the same after a pass that found nothing to claim, which costs a look at every machine
 TICK = 1 / 6  # of report_s
@@ -70,8 +72,11 @@
         cloud: Cloud,
         dependencies: DependencyGraph,
         zone_options: ZoneOptions | None = None,
+        reachability: Reachability | None = None,
     ) -> None:
         self.term, self.client, self.view = term, client, view
+        self.reachability = reachability
+        self.resignation: Resignation | None = None
         workers = settings.cluster.workers
         self.report_s = workers.report_s
         # An earlier leader may go on answering for so long, of whatever version it is.
@@ -84,6 +89,8 @@
         )
         self.ledger = Ledger(self.scheduler, term.stamp, settings.cluster.state.txn_ops)
         self.dispatcher = Dispatcher(settings, term, self.scheduler, self.send)
+        self.term.earlier = self.scheduler.earlier
+        self.scheduler.authority = self.term.authority
         self.scheduler.push = lambda machine: self.dispatcher.request(machine.host)
         self.writer = Writer(settings, term.epoch, client, self.send)
         self.cloud_tasks = CloudTasks(settings, term, cloud, client, view, self.send)
@@ -129,8 +136,12 @@
                 nursery.start_soon(self.cloud_tasks.record_types)
                 nursery.start_soon(self._loop)
                 announce(self.send)
+                if self.resignation is not None:
+                    self.resignation.nursery = nursery
                 await self.term.over.wait()
                 announce(None)
+                if self.reachability is not None:
+                    self.reachability.workers.counted(None)
                 nursery.cancel_scope.cancel()
         while (message := self._next()) is not None:
             if isinstance(message, ReportReceived):
@@ -168,27 +179,31 @@
         """After the messages: schedule, record and push."""
         # A pass is worth its time only when what it claims can be recorded at once, and as far as passes leave time for
         # all else: a flood of reports shares them.
-        if self.scheduler.changed and not self.writer.busy and now >= self._pass_at and self.term.may_start(now):
+        if self.scheduler.changed and not self.writer.busy and now >= self._pass_at and self._may_claim(now):
             claimed = self.scheduler.schedule(now)
             took = trio.current_time() - now
             now += took
             self._pass_at = now + took * (1 / (PASS_SHARE if claimed else IDLE_PASS_SHARE) - 1)
         if not self.writer.busy:
             batch = now - self._recorded_at >= BATCH * self.report_s
-            txn = self.ledger.collect(batch, self.client.leader_writes.level())
+            txn = None if self.term.resigning else self.ledger.collect(batch, self.client.leader_writes.level())
             if txn is not None:
                 if batch:
                     self._recorded_at = now
                 self.writer.submit(txn)
         self.dispatcher.dispatch(now)
 
+    def _may_claim(self, now: float) -> bool:
+        return self.term.authority().allows(Decision.CLAIM, now)
+
     def _on_report(self, message: ReportReceived, now: float) -> None:
         report = message.report
-        patience = max(self.term.grace, self.term.ttl)
-        if (
-            self._outranked(report, now)
-            or not self.term.may_answer(now)
-            or self.scheduler.detector.must_let_lease_end(report.host, now, patience)
+        if self._outranked(report, now):
+            message.answer.set(None)
+            return
+        authority = self.term.authority()
+        if not authority.allows(Decision.KEEP_LEASE_ALIVE, now) or self.scheduler.detector.must_let_lease_end(
+            report.host, now
         ):
             message.answer.set(None)
             return
@@ -196,19 +211,19 @@
         orders: list[Order] = []
         if machine is not None and (report.tenure, report.tick) == (machine.tenure, machine.tick):
             machine.came(message.relayed, now)
-            orders = self.scheduler.sessions.orders(machine, now, report.tick, self.term.may_start(now))
+            may_launch = authority.allows(Decision.LAUNCH, now)
+            orders = self.scheduler.sessions.orders(machine, now, report.tick, may_launch)
         message.answer.set(ReportAnswer(self.term.epoch, orders))
 
     def _outranked(self, report: Report, now: float) -> bool:
         """Whether the machine has seen a later leader's epoch, so that nothing we say counts there; then we yield.
 
-        While our lease is surely ours nobody can have been elected after us, and no more often than a lease can have
-        changed hands since: an epoch beyond that no leader gave. It harms that machine only, which has to go.
+        An epoch that no leader gave harms that machine only, which has to go.
         """
-        if report.epoch <= self.term.epoch:
+        judgement = self.term.authority().judge_epoch(report.epoch, now)
+        if judgement is EpochJudgement.NOT_LATER:
             return False
-        elections = max(0.0, now - self.term.renewed_at - self.term.ttl) / (self.term.ttl * ELECTION) + 1
-        if self.term.may_start(now) or report.epoch > self.term.epoch + elections:
+        if judgement is EpochJudgement.INVENTED:
             machine = self.scheduler.machines.get(report.host)
             if machine is not None and not machine.sick:
                 log.warning("machine %s: shows epoch %d, which nobody gave", report.host, report.epoch)
@@ -242,6 +257,8 @@
         machine = self.scheduler.machines.get(message.host)
         if machine is None:
             return
+        if self.reachability is not None and message.report is not None:
+            self.reachability.workers.asked(machine.zone, True, now)
         if message.report is None or message.report.host != message.host:
             # Only where reports do come straight from it: what is silent, or relayed, is out of our reach anyway.
             heard = machine.heard_at is not None and now - machine.heard_at <= OVERDUE * self.report_s
@@ -263,13 +280,13 @@
         self.term.knows(message.known_at)
 
     def _on_no_other_leader(self, message: NoOtherLeader, now: float) -> None:
-        self.scheduler.detector.no_other_leader(now)
+        self.scheduler.earlier.none_left(self.term.epoch, now)
 
     def _on_controllers_checked(self, message: ControllersChecked, now: float) -> None:
         self.scheduler.zones.controllers_checked(message.reachable)
 
     def _on_tick(self, message: Tick, now: float) -> None:
-        if not self.term.may_start(now):
+        if not self._may_claim(now):
             self.scheduler.zones.delay(now)
         doomed = self.scheduler.sweep(now)
         for machine in self.scheduler.machines.values():
@@ -278,6 +295,18 @@
             elif machine.up_at is not None and self.dispatcher.doubtful(machine, now):
                 self.dispatcher.request(machine.host)  # to learn whether it hears us, and is only looking for us
         self.fleet.manage(doomed, now)
+        self._observe_reach(now)
+
+    def _observe_reach(self, now: float) -> None:
+        """Say which machines come straight here, and resign if that is due."""
+        if self.reachability is None:
+            return
+        # Guards a new leader, to which the machines are still on their way, against calling itself cut off.
+        found = now - self.scheduler.term_from > self.scheduler.detector.way
+        counts = {zone: (one.machines, one.straight) for zone, one in self.scheduler.detector.zones.items()}
+        self.reachability.workers.counted(counts if found else {})
+        if self.resignation is not None:
+            self.resignation.consider(now)
 
     @staticmethod
     def _has_untold_stop(machine: Machine) -> bool:
--- a/ladderfield/leader/cloud_tasks.py
+++ b/ladderfield/leader/cloud_tasks.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ladderfield.connectivity.authority import Decision
 from ladderfield.fleet.capacity import Rental
 from ladderfield.fleet.cloud import LIST_MOST, Cloud, CloudError, NoCapacityError
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
@@ -76,7 +77,7 @@
         refused = False
         while True:
             try:
-                hosts = await self.cloud.rent(name, kind, zone, spot, count, self._may_start)
+                hosts = await self.cloud.rent(name, kind, zone, spot, count, self._may_rent)
                 refused = len(hosts) < count
                 log.info("hire %s: %d of %d %s in %s, spot %s: %s", name, len(hosts), count, kind, zone, spot, hosts)
                 break
@@ -92,7 +93,7 @@
     async def delete(self, hosts: list[str]) -> None:
         """Delete machines."""
         try:
-            await self.cloud.delete(hosts, self._may_start)
+            await self.cloud.delete(hosts, self._may_delete)
             confirmed = True
         except CloudError as error:
             log.info("delete %s: %s", hosts, error)
@@ -100,6 +101,10 @@
             await trio.sleep(RETRY * self.report_s)
         await self.inbox.send(DeletionAnswered(hosts, confirmed))
 
-    def _may_start(self) -> bool:
-        """The right to act, as of now."""
-        return self.term.may_start(trio.current_time())
+    def _may_rent(self) -> bool:
+        """Asked once more after the wait for the cloud's turn."""
+        return self.term.allows(Decision.RENT)
+
+    def _may_delete(self) -> bool:
+        """The same for deletions, which could take what a successor has put to work."""
+        return self.term.allows(Decision.DELETE)
--- a/ladderfield/leader/dispatcher.py
+++ b/ladderfield/leader/dispatcher.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ladderfield.connectivity.authority import Decision
 from ladderfield.http import Client, NoAnswerError
 from ladderfield.leader.messages import Message, OrdersAnswered
 from ladderfield.leader.scheduler import Scheduler
@@ -85,7 +86,8 @@
             return False  # another controller reaches it, we likely don't: its orders go with the answers
         orders: list[Order] = []
         if machine.epoch == self.term.epoch:
-            orders = self.scheduler.sessions.orders(machine, now, None, self.term.may_start(now))
+            may_launch = self.term.authority().allows(Decision.LAUNCH, now)
+            orders = self.scheduler.sessions.orders(machine, now, None, may_launch)
         if not orders and not silent and machine.epoch == self.term.epoch:
             return False
         self._under_way[machine.host] = silent
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -4,11 +4,13 @@
 
 import logging
 import math
-from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from ladderfield.clocks import CLOCKS
+from ladderfield.connectivity.authority import Decision
+from ladderfield.connectivity.reachability import WINDOW
 from ladderfield.queues.work import task_name
-from ladderfield.workers.machine import CLOCKS, UNKNOWN, Machine
+from ladderfield.workers.machine import UNKNOWN, Machine
 from ladderfield.workers.report import ANSWER_S, NEXT_S
 from ladderfield.zones.evidence import ZoneCounts
 
@@ -29,31 +31,16 @@
 class FailureDetector:
     """Judges machines on the scheduler's tables."""
 
-    def __init__(
-        self, scheduler: Scheduler, others_until: float, before: Mapping[str, float], wall_offset: float
-    ) -> None:
+    def __init__(self, scheduler: Scheduler) -> None:
         self.scheduler = scheduler
-        self.others_until = others_until  # an earlier leader may answer reports until then
-        # Where leaders before us stood: they may go on answering the workers there, whoever else has lost them.
-        self.zones_before = {
-            peer.location: before[peer.member] - wall_offset
-            for peer in scheduler.settings.peers
-            if peer.member in before
-        }
         self._mostly_silent = False
         self.most_cannot_report = False  # then the fault is likely ours, and other machines would be no better off
         self.zones: dict[str, ZoneCounts] = {}
         self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
-        self._way = LATEST * scheduler.report_s + ANSWER_S + 2 * NEXT_S
+        self.way = LATEST * scheduler.report_s + ANSWER_S + 2 * NEXT_S
         self._together = LOST_TOGETHER * scheduler.lease_s
 
-    def no_other_leader(self, now: float) -> None:
-        """All other controllers have said, since our term began, that they are not leader: no one else answers."""
-        if now < self.others_until:
-            log.info("epoch %d: no earlier leader is left", self.scheduler.epoch)
-            self.others_until = now
-
     def observe(self, now: float) -> None:
         """See which zones are cut off.
 
@@ -65,7 +52,7 @@
             # Guards work against machines that can't reach any controller while our commands reach them: their lease
             # runs out, and with it ends all that would be begun there.
             came_at = machine.up_at if machine.reported_at is None else machine.reported_at
-            machine.cannot_report = came_at is not None and now - came_at > self._way
+            machine.cannot_report = came_at is not None and now - came_at > self.way
             mute += machine.cannot_report
             if machine.heard_at is not None or machine.claims:
                 self._count(known.setdefault(machine.zone, ZoneCounts()), machine, now)
@@ -85,16 +72,20 @@
         if silent:
             zone.unheard += 1
             zone.lapsed += now > self.lease_over_at(machine)
+        straight = not machine.relayed and machine.reported_at is not None
+        zone.straight += straight and now - (machine.reported_at or 0.0) <= WINDOW * scheduler.report_s
 
     def lease_over_at(self, machine: Machine) -> float:
         """When the machine's lease is surely over."""
         scheduler = self.scheduler
-        return machine.lease_over_at(scheduler.epoch, scheduler.term_from, self.others_until, scheduler.lease_s)
+        unheard = scheduler.authority().verdict(Decision.END_UNHEARD_CLAIM)
+        return machine.lease_over_at(scheduler.epoch, scheduler.term_from, unheard.since, scheduler.lease_s)
 
     def _patience(self, machine: Machine, now: float) -> float:
         """How long the machine may be silent."""
-        scheduler, cut, alone = self.scheduler, machine.zone in self.cut, self.others_until <= now
-        term_from = scheduler.term_from
+        scheduler, cut, term_from = self.scheduler, machine.zone in self.cut, self.scheduler.term_from
+        unheard = scheduler.authority().verdict(Decision.END_UNHEARD_CLAIM)
+        alone = unheard.holds(now)
         # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
         # that is relayed is sent to us now and then, and waits there before it goes the other way.
         finding = machine.fresh_at is None
@@ -102,17 +93,18 @@
         if cut or (finding and not alone):
             patience = max(patience, self._together)
         elif finding or machine.relayed:
-            patience = max(patience, self._way)
+            patience = max(patience, self.way)
         if cut and not machine.replicas:
             # Guards against giving a whole zone up for a cut that heals: its tasks begin anew elsewhere once their
             # lease is over, and to wait for the machine costs no more than to boot another.
             patience = max(patience, scheduler.lease_s * CLOCKS + machine.kind.boot_s)
         if machine.up_at is None:
             # A leader before us may still be answering it; to delete what runs well would be our doing.
-            until = self.others_until if self._mostly_silent else self.zones_before.get(machine.zone, 0.0)
-            if min(until, self.others_until) > term_from:
+            until = unheard.since if self._mostly_silent else scheduler.earlier.zones.get(machine.zone, 0.0)
+            until = min(until, unheard.since)
+            if until > term_from:
                 few = alone and not cut and not self._mostly_silent
-                patience = min(until, self.others_until) - term_from + (self._way if few else self._together)
+                patience = until - term_from + (self.way if few else self._together)
         return patience
 
     def away(self, machine: Machine, now: float) -> bool:
@@ -131,7 +123,7 @@
             and not (machine.claims and self.scheduler.cancelled_at)
         )
 
-    def must_let_lease_end(self, host: str, now: float, patience: float) -> bool:
+    def must_let_lease_end(self, host: str, now: float) -> bool:
         """Whether the machine's lease is to end because of a cancelled task.
 
         Its cancellation was confirmed so long ago that one more answer would keep it beyond cancel_s. Guards
@@ -141,7 +133,7 @@
         if machine is None or not self.scheduler.cancelled_at:
             return False
         times = (self.scheduler.cancelled_at.get(claim.job.uid, math.inf) for claim in machine.claims.values())
-        return now > min(times, default=math.inf) + patience
+        return now > self.scheduler.authority().answers_cancelled_until(min(times, default=math.inf))
 
     def reason_to_delete(self, machine: Machine, now: float) -> str | None:
         """Why the machine has to go, or None."""
@@ -150,7 +142,8 @@
             return "it failed"
         silent, patience = machine.silent_for(now, scheduler.term_from), self._patience(machine, now)
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        if booted and silent > patience:
+        silence_counts = scheduler.authority().allows(Decision.GIVE_UP_MACHINE, now)
+        if booted and silent > patience and silence_counts:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.not_hearing_since is not None:
             # Its replicas go on until its lease is over; all else is better off elsewhere at once.
--- a/ladderfield/leader/fleet_manager.py
+++ b/ladderfield/leader/fleet_manager.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ladderfield.connectivity.authority import Decision
 from ladderfield.fleet.capacity import Offer, Rental
 from ladderfield.fleet.cloud import DELETE_MOST, RENT_MOST
 from ladderfield.fleet.plan import Planner
@@ -36,7 +37,8 @@
 
     def manage(self, doomed: list[str], now: float) -> None:
         """Rent, return, and delete what is doomed or returned, as far as we may."""
-        if self.term.may_start(now) and now - self._planned_at >= PLAN_EVERY * self.scheduler.report_s:
+        authority = self.term.authority()
+        if authority.allows(Decision.RENT, now) and now - self._planned_at >= PLAN_EVERY * self.scheduler.report_s:
             self._planned_at = now
             try:
                 doomed = doomed + self._plan(now)
@@ -44,7 +46,7 @@
                 # A plan only reads the tables. Running without one for a while beats ending a leader over it.
                 log.exception("epoch %d: no plan", self.term.epoch)
         due = [host for host in doomed if host not in self._deleting][:DELETE_MOST]
-        if due and self.term.may_start(now):
+        if due and authority.allows(Decision.DELETE, now):
             self._deleting.update(due)
             self.nursery.start_soon(self.cloud_tasks.delete, due)
 
--- a/ladderfield/leader/scheduler.py
+++ b/ladderfield/leader/scheduler.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ladderfield.connectivity.authority import Authority
+from ladderfield.connectivity.earlier_leaders import EarlierLeaders
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.jobs.model import (
     CANCELLED,
@@ -92,12 +94,18 @@
         self.estimates = Estimates(settings, self.wall_offset)
         self.waiting = Waiting(self, dependencies)
         self.sessions = Sessions(self)
-        self.detector = FailureDetector(self, now + grace_s, before or {}, wall - now)
+        self.earlier = EarlierLeaders.of(now + grace_s, before or {}, settings.peers, self.wall_offset)
+        self.authority: Callable[[], Authority] = self._unlimited_authority
+        self.detector = FailureDetector(self)
         self.preemption = Preemption(self)
         self.passes = SchedulingPass(self)
         self.zones = ZonePolicy() if zone_options is None else ZoneCoordinator(self, zone_options)
         self.push: Callable[[Machine], None] = lambda machine: None
 
+    def _unlimited_authority(self) -> Authority:
+        """What tables without a leader around them may decide: all that earlier leaders leave to them."""
+        return Authority(epoch=self.epoch, over=False, earlier_until=self.earlier.until)
+
     # -- what is on record -------------------------------------------------------------------------------------
 
     def load(self, data: dict[str, tuple[Any, int]], now: float) -> None:
--- a/ladderfield/leader/test_failure_detector.py
+++ b/ladderfield/leader/test_failure_detector.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ladderfield.clocks import CLOCKS
 from ladderfield.testing.leader import SchedulerHarness, inherited, launched, rung
-from ladderfield.workers.machine import CLOCKS
 
 
 def test_a_silent_machines_claims_outlast_any_earlier_leaders_answers() -> None:
@@ -17,7 +17,7 @@
 
 def test_the_wait_for_earlier_leaders_ends_when_all_others_say_they_follow() -> None:
     harness = SchedulerHarness(inherited())
-    harness.scheduler.detector.no_other_leader(3.0)
+    harness.scheduler.earlier.none_left(harness.scheduler.epoch, 3.0)
     harness.scheduler.sweep(3.0 + 12.0)
     assert harness.machine().claims, "but the lease itself may have been renewed until then"
     harness.scheduler.sweep(3.0 + 12.0 * CLOCKS + 0.01)
--- a/ladderfield/leader/test_placement.py
+++ b/ladderfield/leader/test_placement.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from ladderfield.clocks import CLOCKS
 from ladderfield.testing import accepted, job
 from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, launched, rung
-from ladderfield.workers.machine import CLOCKS
 
 LEASE = 12.0 * CLOCKS
 GRACE = 36.0  # how long an earlier leader may answer
--- a/ladderfield/leader/test_scheduler.py
+++ b/ladderfield/leader/test_scheduler.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ladderfield.connectivity.authority import Decision
 from ladderfield.leader.pages import encoded_size
 from ladderfield.leadership import EPOCH, Term
 from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, inherited, launched, rung
@@ -123,8 +124,11 @@
 def test_a_leader_that_stood_still_does_no_harm() -> None:
     """Incident inc-5681: a process woke up after its successor's term had begun, and saw all leases over."""
     term = Term(EPOCH_NOW, 3, 1, renewed_at=100.0, ttl=2.0, grace=17.0, known_at=100.0)
-    assert term.may_start(101.9)
-    assert not term.may_start(132.0), "it starts, rents and deletes nothing before it has renewed its lease"
+    for decision in (Decision.CLAIM, Decision.LAUNCH, Decision.RENT, Decision.DELETE):
+        assert term.authority().allows(decision, 101.9)
+        assert not term.authority().allows(decision, 132.0), (
+            "it starts, rents and deletes nothing before it has renewed its lease"
+        )
     harness = SchedulerHarness()
     launched(harness, 1)
     harness.scheduler.sweep(33.0)
--- a/ladderfield/leader/test_unheard.py
+++ b/ladderfield/leader/test_unheard.py
@@ -145,7 +145,7 @@
     job_key = {"lf/j/req-000001": (accepted(job(rungs=3)), 4)}
     harness = SchedulerHarness(job_key | pages)
     assert harness.scheduler.sweep(30.0) == []
-    harness.scheduler.detector.no_other_leader(31.0)
+    harness.scheduler.earlier.none_left(EPOCH_NOW, 31.0)
     assert harness.scheduler.sweep(40.0) == [], "their leases may have been renewed until then"
     assert sorted(harness.scheduler.sweep(41.0)) == ["a", "b", "c"], "nobody else answers them"
 
@@ -153,7 +153,7 @@
 def test_a_zone_that_an_earlier_leader_may_hold_is_given_its_time() -> None:
     """Grown troubles: the zone was cut off with its leader, and two takeovers later its machines were deleted."""
     one = Scheduler(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, DependencyGraph(lambda key: None), {"n1": 1020.0})
-    assert one.detector.zones_before == {"zb": 20.0}
+    assert one.earlier.zones == {"zb": 20.0}
     for host, zone in (("a", "za"), ("b", "zb"), ("c", "za"), ("d", "za"), ("e", "za")):
         machine = one.machines[host] = Machine(host, "10.9.0.1:90", UNKNOWN, zone, False, 0.0)
         if host in "cde":
@@ -231,9 +231,9 @@
         for host in "abcde":
             harness.report(host, now=now)
         assert ("m" in harness.scheduler.sweep(now)) is False, "another may still answer it"
-        harness.scheduler.detector.no_other_leader(0.5)
+        harness.scheduler.earlier.none_left(EPOCH_NOW, 0.5)
         assert ("m" in harness.scheduler.sweep(now)) is doomed
-        harness.scheduler.detector.others_until = 36.0
+        harness.scheduler.earlier.until = 36.0
 
 
 def test_a_zone_that_is_cut_for_longer_than_a_lease_keeps_its_machines() -> None:
--- a/ladderfield/leader/writer.py
+++ b/ladderfield/leader/writer.py
@@ -27,19 +27,22 @@
     ) -> None:
         self.epoch, self.client, self.inbox = epoch, client, inbox
         self.report_s = settings.cluster.workers.report_s
+        self.unanswered = False  # a transaction is under way, and what became of it is not known
         self.busy = False  # from a transaction's submission until the next one may be put together
         self._begin_with = max(LEAST_WRITES, LEAST_SHARE * settings.cluster.state.txn_ops)
         self._submitted, self._transactions = trio.open_memory_channel[Transaction](1)
 
     def submit(self, txn: Transaction) -> None:
         """Take a transaction; only while the writer is not busy."""
-        self.busy = True
+        self.busy = self.unanswered = True
         self._submitted.send_nowait(txn)
 
     async def run(self) -> None:
         """Write for ever."""
         async for txn in self._transactions:
-            await self.inbox.send(await self._write(txn))
+            answered = await self._write(txn)
+            self.unanswered = False
+            await self.inbox.send(answered)
             # The next one is put together only when it can go out, so that it holds all that has gathered.
             await self.client.leader_writes.ready(self._begin_with)
             await self.inbox.send(WriterReady())
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -8,18 +8,23 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
+from ladderfield.clocks import CLOCKS
+from ladderfield.connectivity.authority import Authority, Decision
+from ladderfield.connectivity.earlier_leaders import EarlierLeaders
+from ladderfield.connectivity.reachability import ReachStatus
 from ladderfield.http import encode
 from ladderfield.jobs.model import FULL
 from ladderfield.rollout import CANCELLATION_SYNC, level_of
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, StateServiceError
 from ladderfield.view import View
-from ladderfield.workers.machine import CLOCKS
 from ladderfield.workers.report import EPOCH_MOST
 
 log = logging.getLogger(__name__)
@@ -68,19 +73,35 @@
         default_factory=dict
     )  # earlier leaders who may still answer; until what time of day
     over: trio.Event = field(default_factory=trio.Event)
-
-    def may_start(self, now: float) -> bool:
-        """Whether new work may begin: only while the lease is surely ours."""
-        return self.may_answer(now) and now < self.renewed_at + self.ttl / CLOCKS
-
-    def may_answer(self, now: float) -> bool:
-        """Whether reports may be answered, which keeps tasks alive for lease_s more.
-
-        Guards ``ran_cancelled``: others confirm cancellations that this controller, cut off from the state service, may
-        never hear of.
-        """
-        until = self.known_at + self.grace if self.grace > 0 else self.renewed_at + self.ttl / CLOCKS
-        return not self.over.is_set() and now < until
+    resigning: bool = False  # nothing new is begun
+    released: bool = False  # it was ended in order, so that the lease is released at once
+    earlier: EarlierLeaders = field(default_factory=lambda: EarlierLeaders(-math.inf))
+    reach: Callable[[], ReachStatus] = ReachStatus
+
+    def authority(self) -> Authority:
+        """What this leader may decide, as of now: ask again after each wait."""
+        lease_until = self.renewed_at + self.ttl / CLOCKS
+        reach = self.reach()
+        return Authority(
+            condition=reach.condition,
+            takes_users=reach.takes_users,
+            epoch=self.epoch,
+            over=self.over.is_set(),
+            resigning=self.resigning,
+            renewed_at=self.renewed_at,
+            ttl=self.ttl,
+            lease_until=lease_until,
+            # Guards ``ran_cancelled``: an answer keeps tasks alive for lease_s more, and others confirm cancellations
+            # that this controller, cut off from the state service, may never hear of.
+            answers_until=self.known_at + self.grace if self.grace > 0 else lease_until,
+            cancelled_patience=max(self.grace, self.ttl),
+            earlier_until=self.earlier.until,
+            silence_counts_from=reach.silence_counts_from,
+        )
+
+    def allows(self, decision: Decision) -> bool:
+        """Whether this leader may decide that now."""
+        return self.authority().allows(decision, trio.current_time())
 
     def knows(self, at: float) -> None:
         """Every cancellation that was confirmed before this moment is known here."""
@@ -96,8 +117,17 @@
 class Leadership:
     """Campaigns whenever there is no leader, and keeps the lease while this controller is it."""
 
-    def __init__(self, settings: Settings, client: StateClient, view: View) -> None:
-        self.settings, self.client, self.view = settings, client, view
+    def __init__(
+        self,
+        settings: Settings,
+        client: StateClient,
+        view: View,
+        reach: Callable[[], ReachStatus] = ReachStatus,
+        stand_back_for: Callable[[float], float] = lambda vacant_since: 0.0,
+    ) -> None:
+        self.settings, self.client, self.view, self.reach = settings, client, view, reach
+        self.stand_back_for = stand_back_for  # seconds more, for an office that is vacant since then
+        self._vacant_since: float | None = None
         self.ttl = max(0.1, TTL * settings.cluster.workers.report_s)
         self.grace = grace_s(settings)
         self.term: Term | None = None
@@ -121,9 +151,16 @@
         if epoch <= max(self._told[0], self.known_epoch()) or not leader or epoch >= EPOCH_MOST:
             return
         self._told = (epoch, leader)
-        if self.term is not None and epoch > self.term.epoch and not self.term.may_start(trio.current_time()):
+        if self.term is not None and self.term.authority().yields_to(epoch, trio.current_time()):
             self.term.end(f"{leader} has epoch {epoch}")
 
+    def authority(self) -> Authority:
+        """What this controller may decide now, as leader or not."""
+        if self.term is not None:
+            return self.term.authority()
+        reach = self.reach()
+        return Authority(condition=reach.condition, takes_users=reach.takes_users)
+
     def known_leader(self) -> str | None:
         """Who is leader, as far as is known here."""
         return self.latest()[1] or None
@@ -159,6 +196,9 @@
         async with self.view.subscribe() as changes:
             while True:
                 while self.view.synced and self._vacant():
+                    if (wait_s := self._stand_back_s()) > 0:
+                        await trio.sleep(min(wait_s, self.ttl / 10))
+                        continue
                     # A short turn by name keeps two candidates from paying for the same campaign.
                     if self._turn and self._holder() is None:
                         await trio.sleep(self._turn * self.ttl / 40)
@@ -171,6 +211,7 @@
                         term = None
                     if term is not None:
                         await self._serve(term, terms, changes)
+                        await self._release(term)
                     else:
                         await trio.sleep(self.ttl / 10)
                 with trio.move_on_after(self.ttl):
@@ -178,7 +219,25 @@
 
     def _vacant(self) -> bool:
         """No leader, or the one on record is an earlier process of this very controller, which is dead."""
-        return self._holder() in (None, self.settings.member)
+        vacant = self._holder() in (None, self.settings.member)
+        if not vacant:
+            self._vacant_since = None
+        return vacant
+
+    def _stand_back_s(self) -> float:
+        """How many seconds more to let others go first; bounded from when the office was seen vacant."""
+        if self._vacant_since is None:
+            self._vacant_since = trio.current_time()
+        return self.stand_back_for(self._vacant_since)
+
+    async def _release(self, term: Term) -> None:
+        """Give the lease of a leader that resigned back. Without an answer it ends by itself."""
+        if not term.released:
+            return
+        try:
+            await self.client.release(term.hold, self.ttl / 2)
+        except StateServiceError as error:
+            log.info("epoch %d: the lease was not released: %s", term.epoch, error)
 
     async def _campaign(self) -> Term | None:
         # A copy of this that is carried out late ends no newer term.
@@ -196,11 +255,11 @@
             with trio.move_on_after(timeout):
                 await self.view.reach(outcome.ledger)
             return None
-        if trio.current_time() > asked + self.ttl:
+        if not Authority(office_until=asked + self.ttl).allows(Decision.TAKE_OFFICE, trio.current_time()):
             # We stood still meanwhile. The lease may be over, others may have heard from us that we are not leader.
             return None
         log.info("epoch %d: leader is %s", epoch, self.settings.member)
-        return Term(epoch, outcome.ledger, hold, sent, self.ttl, self.grace, sent, before)
+        return Term(epoch, outcome.ledger, hold, sent, self.ttl, self.grace, sent, before, reach=self.reach)
 
     async def _serve(
         self, term: Term, terms: trio.MemorySendChannel[Term], changes: trio.MemoryReceiveChannel[list]
@@ -238,6 +297,5 @@
                     term.end("its lease ended")
             except StateServiceError as error:
                 log.debug("epoch %d: renewal: %s", term.epoch, error)
-                now = trio.current_time()
-                if now > term.renewed_at + self.ttl and not term.may_answer(now):
+                if not term.allows(Decision.HOLD_OFFICE):
                     term.end("its lease could not be renewed")
--- a/ladderfield/peers.py
+++ b/ladderfield/peers.py
@@ -1,15 +1,16 @@
 """What controllers say to each other over ``back``: binary frames, one question and one answer at a time.
 
-Three things need it: a worker that can't reach the leader gets its report relayed, if need be by way of a third
+Four things need it: a worker that can't reach the leader gets its report relayed, if need be by way of a third
 controller; each learns how the others are: whether the state service serves them, that they are not leader, and
-who is; and a leader learns of cancellations that it can't see on record (``cancellation_sync.py``). So a leader that
+who is; a leader learns of cancellations that it can't see on record (``cancellation_sync.py``); and controllers tell
+each other which workers they reach (``connectivity/exchange.py``). So a leader that
 the state service alone has lost steps down as soon as its successor can be asked, and a controller without the state
 service still sends workers to the right place.
 
     frame:  magic 2s | version B | kind B | status H | length I | body
     health: leads B | epoch Q | name of that epoch's leader
 
-The last two kinds are sent only to who has said on record that it takes them (``rollout.py``).
+The last three kinds are sent only to who has said on record that it takes them (``rollout.py``).
 
 ``status`` is an HTTP status in answers, and in a relay the number of controllers that have carried it already.
 """
@@ -31,7 +32,7 @@
 HEAD = struct.Struct("!2sBBHI")
 MAGIC, VERSION = b"lf", 2
 BODY_MOST = 64 * 1024  # a report's bound, and so an answer's
-RELAY, ANSWER, HEALTH, CANCELLATION_QUERY, CANCELLATION_NOTICE = 1, 2, 3, 4, 5
+RELAY, ANSWER, HEALTH, CANCELLATION_QUERY, CANCELLATION_NOTICE, REACH = 1, 2, 3, 4, 5, 6
 SELF = struct.Struct("!BQ")  # in the answer to HEALTH: may be leader itself | highest epoch known, then its leader
 BACK_SHARE = 1 / 14  # of the sockets: what the others may open to us, and so we to them all together
 
@@ -55,7 +56,7 @@
 def unpack_head(head: bytes) -> tuple[int, int, int]:
     """Kind, status and length of the body to come."""
     magic, version, kind, status, length = HEAD.unpack(head)
-    if magic != MAGIC or version != VERSION or not RELAY <= kind <= CANCELLATION_NOTICE or length > BODY_MOST:
+    if magic != MAGIC or version != VERSION or not RELAY <= kind <= REACH or length > BODY_MOST:
         raise FrameError(f"{head.hex()} is no frame head")
     return kind, status, length
 
--- a/ladderfield/rollout.py
+++ b/ladderfield/rollout.py
@@ -21,7 +21,8 @@
 VERSION = "lf/v/"  # a controller, and what its program understands
 WAITING = 1  # jobs that wait for others
 CANCELLATION_SYNC = 2  # questions about cancellations over ``back``, and the grace period that they allow
-LEVEL = CANCELLATION_SYNC
+REACH_EXCHANGE = 3  # messages about reach over ``back``, and the record of resignations
+LEVEL = REACH_EXCHANGE
 
 
 def level_of(view: View, member: str) -> int:
@@ -40,14 +41,22 @@
         self.key = VERSION + self.member
         self.members = [self.member, *(peer.member for peer in settings.peers)]
         self.pause = settings.cluster.workers.report_s / 4
-        self._complete = False
+        self._everywhere = 0  # the level that every controller is known to have
 
     @property
     def complete(self) -> bool:
         """Whether every controller understands jobs that wait for others."""
-        if not self._complete:
-            self._complete = all(level_of(self.view, member) >= WAITING for member in self.members)
-        return self._complete
+        return self._has_everywhere(WAITING)
+
+    @property
+    def reach_everywhere(self) -> bool:
+        """Whether every controller understands messages about reach and the record of resignations."""
+        return self._has_everywhere(REACH_EXCHANGE)
+
+    def _has_everywhere(self, level: int) -> bool:
+        if self._everywhere < level:
+            self._everywhere = min(level_of(self.view, member) for member in self.members)
+        return self._everywhere >= level
 
     async def run(self) -> None:
         """Put it on record as soon as there is a view, and look after it."""
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -9,6 +9,12 @@
 import trio
 
 from ladderfield.cancellation_sync import CancellationSync, MalformedAnswerError, parse_uids
+from ladderfield.connectivity.authority_log import AuthorityLog
+from ladderfield.connectivity.exchange import ReachExchange
+from ladderfield.connectivity.options import ReachOptions
+from ladderfield.connectivity.prober import WorkerProber
+from ladderfield.connectivity.reachability import PeerStatus, Reachability, ReachStatus, Side
+from ladderfield.connectivity.succession import Succession
 from ladderfield.fleet.cloud import Cloud, CloudError
 from ladderfield.http import Reply, Request, Server
 from ladderfield.jobs.api import JobsApi
@@ -18,11 +24,13 @@
 from ladderfield.jobs.responses import SUBMIT_S
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import CancellationsLearned, ControllersChecked, NoOtherLeader
+from ladderfield.leader.resignation import Resignation
 from ladderfield.leadership import Leadership, Term
 from ladderfield.peers import (
     CANCELLATION_NOTICE,
     CANCELLATION_QUERY,
     HEALTH,
+    REACH,
     RELAY,
     SELF,
     BackServer,
@@ -46,12 +54,19 @@
 class Controller:
     """All slices of one process."""
 
-    def __init__(self, settings: Settings, zone_options: ZoneOptions | None = None) -> None:
+    def __init__(
+        self, settings: Settings, zone_options: ZoneOptions | None = None, reach_options: ReachOptions | None = None
+    ) -> None:
         self.settings, self.zone_options = settings, zone_options
         self.client = StateClient(settings)
         self.view = View(self.client, settings)
         self.cloud = Cloud(settings)
-        self.leadership = Leadership(settings, self.client, self.view)
+        workers = settings.cluster.workers
+        self.reachability = Reachability(workers.report_s, workers.lease_s, most_entries(settings))
+        self.client.observe = lambda side, exchange: self.reachability.note(side, exchange, trio.current_time())
+        self.cloud.observe = lambda exchange: self.reachability.note(Side.CLOUD, exchange, trio.current_time())
+        self.succession = None if reach_options is None else Succession(reach_options, workers.report_s)
+        self.leadership = Leadership(settings, self.client, self.view, self._reach_status, self._stand_back_for)
         at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
         self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
         self.dependencies = DependencyGraph(self.view.get)
@@ -59,12 +74,29 @@
         self.view.followers += [self.dependencies.take, self.cancellations.take]
         self.rollout = Rollout(settings, self.client, self.view)
         self.jobs_api = JobsApi(
-            settings, self.client, self.view, self.dependencies, self.rollout, self.cancellations, self.links
-        )
+            settings, self.client, self.view, self.dependencies, self.rollout, self.cancellations,
+            self.leadership.authority,
+        )  # fmt: skip
         self.reports = ReportHandler(settings, self.leadership, self.links)
         self.cancellation_sync = CancellationSync(self.leadership, self.view, self.cancellations, self.links)
+        self.reach_exchange = ReachExchange(
+            settings, self.leadership, self.view, self.reachability, self.links, self.succession
+        )
+        self.prober = WorkerProber(settings, self.view, self.reachability, reach_options is not None)
+        self.reports.heard = lambda zone, host: self.reachability.workers.reported(zone, host, trio.current_time())
+        self.authority_log = AuthorityLog()
         self.cancellation_sync.deliver = lambda uids: self.reports.tell_leader(CancellationsLearned(uids))
 
+    def _reach_status(self) -> ReachStatus:
+        return self.reachability.status(PeerStatus(link.reachable, link.state_ok) for link in self.links.values())
+
+    def _stand_back_for(self, vacant_since: float) -> float:
+        """How many seconds more to let others be elected first."""
+        if self.succession is None:
+            return 0.0
+        now = trio.current_time()
+        return self.succession.stand_back_for(self.reachability.total(now), self.reachability.cut, vacant_since, now)
+
     async def handle(self, request: Request) -> Reply:
         """Any request to ``bind``."""
         reply = await self.reports(request)
@@ -79,7 +111,7 @@
         if kind == HEALTH:
             leads = self.leadership.term is not None or self.reports.inbox is not None
             epoch, leader = self.leadership.latest()
-            return (200 if self.jobs_api.state_ok else 503), SELF.pack(leads, epoch) + leader.encode()
+            return (200 if self.reachability.state_ok else 503), SELF.pack(leads, epoch) + leader.encode()
         if kind == CANCELLATION_QUERY:
             return self.cancellation_sync.answer(body)
         if kind == CANCELLATION_NOTICE:
@@ -88,6 +120,8 @@
             except MalformedAnswerError:
                 return 400, b""
             return 200, b""
+        if kind == REACH:
+            return self.reach_exchange.answer(body)
         return 400, b""
 
     async def run_health(self) -> None:
@@ -98,13 +132,14 @@
             async with trio.open_nursery() as nursery:
                 for link in self.links.values():
                     nursery.start_soon(link.check, pause)
-                self.jobs_api.state_ok = await self.view.fresh(pause)
+                nursery.start_soon(self.reach_exchange.ask_all, pause)
+                self.reachability.state_ok = await self.view.fresh(pause)
             for link in self.links.values():
                 self.leadership.told(*link.knows)
             if self.zone_options is not None:
                 self.reports.tell_leader(ControllersChecked(self._reachable_zones()))
             if term is not None and not term.over.is_set():
-                if self.jobs_api.state_ok:
+                if self.reachability.state_ok:
                     term.knows(self.view.proven_at)
                 else:
                     self.reports.tell_leader(CancellationsLearned(*await self.cancellation_sync.ask(term, pause)))
@@ -115,8 +150,14 @@
             ):
                 # All were asked after our term began, so no earlier leader is left to keep leases alive.
                 self.reports.tell_leader(NoOtherLeader())
+            self._observe_reach(trio.current_time())
             await trio.sleep(pause)
 
+    def _observe_reach(self, now: float) -> None:
+        """Judge which links work, and say on the log what follows from it."""
+        self.reachability.look(now)
+        self.authority_log.observe(self.leadership.authority(), now)
+
     def _reachable_zones(self) -> dict[str, bool]:
         """Whether any controller of each zone answered when it was last asked."""
         reachable = {self.settings.location: True}
@@ -130,14 +171,25 @@
         async for term in terms:
             try:
                 leader = Leader(
-                    self.settings, term, self.client, self.view, self.cloud, self.dependencies, self.zone_options
-                )
+                    self.settings, term, self.client, self.view, self.cloud, self.dependencies, self.zone_options,
+                    self.reachability,
+                )  # fmt: skip
+                leader.resignation = self._resignation(term, leader)
                 await leader.run(self._announce)
             except Exception:
                 log.exception("epoch %d: the leader failed", term.epoch)
                 self._announce(None)
                 term.end("of an error")
 
+    def _resignation(self, term: Term, leader: Leader) -> Resignation | None:
+        """What makes a leader resign, if leadership goes by reach."""
+        if self.succession is None:
+            return None
+        return Resignation(
+            term, self.settings.member, self.succession, self.reachability, self.rollout, leader.writer, self.client,
+            self.view,
+        )  # fmt: skip
+
     def _announce(self, inbox: trio.MemorySendChannel | None) -> None:
         self.reports.inbox = inbox
 
@@ -169,6 +221,7 @@
                 self.rollout.run,
                 self.run_types,
                 self.run_health,
+                self.prober.run,
                 partial(self.cancellation_sync.run_notices, self.settings.cluster.workers.report_s / 2),
             ):
                 nursery.start_soon(self._keep, actor)
@@ -193,9 +246,11 @@
     await trio.serve_listeners(serve, listeners)
 
 
-async def serve(settings: Settings, zone_options: ZoneOptions | None = None) -> None:
+async def serve(
+    settings: Settings, zone_options: ZoneOptions | None = None, reach_options: ReachOptions | None = None
+) -> None:
     """Run the controller."""
-    controller = Controller(settings, zone_options)
+    controller = Controller(settings, zone_options, reach_options)
     most = settings.cluster.quota.max_connections
     front = Server(controller.handle, int(most * USERS_SHARE), SUBMIT_S, IDLE_S)
     back = BackServer(controller.handle_back, back_most(most), IDLE_S, SUBMIT_S)
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
 import trio
 
 from ladderfield.budget import Budget
+from ladderfield.connectivity.links import Exchange, exchange_of
+from ladderfield.connectivity.reachability import Side
 from ladderfield.http import Client, NoAnswerError, decode_object
 from ladderfield.settings import Settings, address
 
@@ -82,6 +85,7 @@
         self.watches = Budget(limits.rps * 0.4 / size)
         self.calls = Budget(limits.rps * 0.3 / size)
         self.leader_calls = Budget(limits.rps * 0.2)
+        self.observe: Callable[[Side, Exchange], None] = lambda side, exchange: None  # told how each call ended
         self.answered_at = -math.inf  # when the service last answered us with anything but trouble
 
     async def _call(
@@ -92,8 +96,10 @@
             status, data = await client.call(method, target, body, timeout)
             answer = decode_object(data) if data else {}
         except NoAnswerError as error:
+            self.observe(_side(method, target), Exchange.LOST)
             await client.drop()
             raise StateServiceError(str(error)) from None
+        self.observe(_side(method, target), exchange_of(status))
         if status == 429:
             self.calls.drain()
         if status >= 500 or status == 429:
@@ -157,6 +163,10 @@
         status, _ = await self._call("POST", f"/grants/{hold}/touch", {}, timeout)
         return status == 200
 
+    async def release(self, hold: int, timeout: float) -> None:
+        """End a lease at once, and with it the keys attached to it."""
+        await self._call("DELETE", f"/grants/{hold}", None, timeout)
+
     async def watch(self, after: int, wait_s: float) -> Watched | None:
         """Changes after a revision, or None if the service no longer keeps that far back."""
         await self.watches.take()
@@ -165,6 +175,13 @@
         return None if status == 410 else _checked(status, answer, Watched)
 
 
+def _side(method: str, target: str) -> Side:
+    """Which of our links to the state service a call goes over."""
+    if target.startswith("/watch"):
+        return Side.STATE_WATCH
+    return Side.STATE_READ if method == "GET" else Side.STATE_WRITE
+
+
 def _transaction(
     guards: dict[str, int], puts: dict[str, Any], deletes: list[str], hold: int | None, held: str | None
 ) -> dict[str, Any]:
--- a/ladderfield/test_grace.py
+++ b/ladderfield/test_grace.py
@@ -15,6 +15,7 @@
 import trio
 
 from ladderfield.cancellation_sync import ANSWER, QUESTION, Answer, MalformedAnswerError, known_until
+from ladderfield.connectivity.authority import Decision
 from ladderfield.leadership import Term, grace_s
 from ladderfield.peers import CANCELLATION_NOTICE, CANCELLATION_QUERY
 from ladderfield.rollout import CANCELLATION_SYNC, VERSION
@@ -225,7 +226,8 @@
     none = msgspec.structs.replace(own, cluster=msgspec.structs.replace(own.cluster, workers=workers))
     assert grace_s(none) == 0.0
     term = Term(3, 3, 1, renewed_at=40.0, ttl=2.0, grace=0.0, known_at=40.0)
-    assert term.may_answer(41.0) and not term.may_answer(42.5), "only while its lease is surely its own"
+    keeps = term.authority().verdict(Decision.KEEP_LEASE_ALIVE)
+    assert keeps.holds(41.0) and not keeps.holds(42.5), "only while its lease is surely its own"
 
 
 @pytest.mark.parametrize(
--- a/ladderfield/testing/cluster.py
+++ b/ladderfield/testing/cluster.py
@@ -17,6 +17,7 @@
 import trio
 from trio.lowlevel import in_trio_run
 
+from ladderfield.connectivity.options import ReachOptions
 from ladderfield.http import Client, NoAnswerError, Server
 from ladderfield.peers import BackServer, PeerLink
 from ladderfield.server import Controller
@@ -28,8 +29,13 @@
 class Cluster:
     """The whole, with levers for what goes wrong."""
 
-    def __init__(self, nursery: trio.Nursery, zone_options: ZoneOptions | None = None) -> None:
-        self.nursery, self.zone_options = nursery, zone_options
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        zone_options: ZoneOptions | None = None,
+        reach_options: ReachOptions | None = None,
+    ) -> None:
+        self.nursery, self.zone_options, self.reach_options = nursery, zone_options, reach_options
         self.net = Network(nursery)
         self.state = StateService()
         self.cloud = CloudService(self._boot)
@@ -65,7 +71,7 @@
         origin.set(own.bind.partition(":")[0])
         with trio.CancelScope() as scope:
             self.scopes[number] = scope
-            controller = self.controllers[number] = Controller(own, self.zone_options)
+            controller = self.controllers[number] = Controller(own, self.zone_options, self.reach_options)
             self.net.listen(own.bind, Server(controller.handle, 500, 5.0, 60.0))
             self.net.listen(own.back, BackServer(controller.handle_back, 20, 60.0, 5.0))
             await controller.run()
@@ -140,11 +146,14 @@
 
 @asynccontextmanager
 async def cluster(
-    monkeypatch: pytest.MonkeyPatch, nodes: int = 3, zone_options: ZoneOptions | None = None
+    monkeypatch: pytest.MonkeyPatch,
+    nodes: int = 3,
+    zone_options: ZoneOptions | None = None,
+    reach_options: ReachOptions | None = None,
 ) -> AsyncIterator[Cluster]:
     """A running cluster."""
     async with trio.open_nursery() as nursery:
-        whole = Cluster(nursery, zone_options)
+        whole = Cluster(nursery, zone_options, reach_options)
         # The time of day goes on with the fake clock, or else what is on record would seem to be long past.
         began, real = time.time() - trio.current_time(), time.time
         monkeypatch.setattr("time.time", lambda: began + trio.current_time() if in_trio_run() else real())
--- a/ladderfield/testing/network.py
+++ b/ladderfield/testing/network.py
@@ -16,6 +16,9 @@
 origin: ContextVar[str] = ContextVar("origin", default="")  # the host on which the present task runs
 
 
+WORKERS = "10.9."  # the beginning of every worker's address: stands for all of them in a link
+
+
 class Link(NamedTuple):
     """One direction between two hosts."""
 
@@ -48,7 +51,7 @@
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
         """Stands for ``ladderfield.http.connect``."""
         link = Link(origin.get(), host)
-        if link in self.refused or Link(host, link.source) in self.refused:
+        if _blocked(link, self.refused) or _blocked(Link(host, link.source), self.refused):
             raise OSError("refused")
         await self.passes(link)
         await self.passes(Link(host, link.source))
@@ -64,15 +67,15 @@
 
     async def passes(self, link: Link) -> None:
         """Wait until what is sent in this direction arrives; OSError if it is reset."""
-        while link in self.silent:
+        while _blocked(link, self.silent):
             await self.mended.wait()
-        if link in self.refused:
+        if _blocked(link, self.refused):
             raise OSError("reset")
 
-    def mend(self) -> None:
-        """All links are whole again; what was held goes on."""
-        self.silent.clear()
-        self.refused.clear()
+    def mend(self, links: set[Link] | None = None) -> None:
+        """These links, or all, are whole again; what was held goes on."""
+        for blocked in (self.silent, self.refused):
+            blocked.difference_update(blocked.copy() if links is None else links)
         self.mended.set()
         self.mended = trio.Event()
 
@@ -92,6 +95,13 @@
             scope.cancel()
 
 
+def _blocked(link: Link, links: set[Link]) -> bool:
+    """Whether a link is among these, by itself or as one of all workers."""
+    source = WORKERS if link.source.startswith(WORKERS) else link.source
+    target = WORKERS if link.target.startswith(WORKERS) else link.target
+    return bool(links) and (link in links or Link(source, target) in links)
+
+
 class LinkedStream(trio.abc.Stream):
     """The asking side of a connection, which a cut holds up or resets in either direction."""
 
--- a/ladderfield/testing/scripted_fleet.py
+++ b/ladderfield/testing/scripted_fleet.py
@@ -118,7 +118,7 @@
             scheduler.zones.record.wall_offset = 1000.0
         scheduler.load(dict(self.records), self.now)
         scheduler.term_from = self.now
-        scheduler.detector.no_other_leader(self.now)
+        scheduler.earlier.none_left(self.epoch, self.now)
         return self.leader
 
     def submit(self, uid: str, **changes: Any) -> None:
--- a/ladderfield/testing/state_service.py
+++ b/ladderfield/testing/state_service.py
@@ -83,6 +83,10 @@
             hold = int(path.split("/")[2])
             if hold not in self.holds:
                 return Reply(404, {})
+            if request.method == "DELETE":
+                self.holds[hold] = (0.0, trio.current_time())
+                self._expire()
+                return Reply(200, {})
             self.holds[hold] = (self.holds[hold][0], trio.current_time() + self.holds[hold][0])
             return Reply(200, {"hold": hold})
         if path == "/keys":
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -6,11 +6,11 @@
 from collections import deque
 from typing import Any
 
+from ladderfield.clocks import CLOCKS
 from ladderfield.jobs.model import JobSpec, MachineType, fits
 from ladderfield.queues.work import Claim, Job, TaskId
 
 SLACK = 1e-9
-CLOCKS = 1.002  # steady clocks drift apart by up to 0.05% each way; twice that, for rounding
 UNKNOWN = MachineType("", 0, 0, 0, 0, 0, 0, 0, 0, [])  # fits nothing: a machine known by name only
 
 
--- a/ladderfield/workers/report_handler.py
+++ b/ladderfield/workers/report_handler.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TypeVar
 
 import trio
@@ -31,6 +32,7 @@
     def __init__(self, settings: Settings, leadership: Leadership, links: dict[str, PeerLink]) -> None:
         self.leadership, self.links = leadership, links
         self.lease_s = settings.cluster.workers.lease_s
+        self.heard: Callable[[str, str], None] = lambda zone, host: None  # a worker came straight here
         self.inbox: trio.MemorySendChannel[Message] | None = None  # set while this controller is leader
         self._redirected_at: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the leader
         self._relayed_until: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
@@ -53,14 +55,21 @@
             return Reply(400, {"error": str(error)})
         if self.inbox is not None:
             return await self._ask_leader(report, False)
+        return await self._send_on(report, request.body)
+
+    async def _send_on(self, report: Report, body: bytes) -> Reply:
+        """The answer of a controller that is not leader: the leader's name, or the leader's own answer."""
         leader = self.leadership.known_leader()
         link = self.links.get(leader or "")
         if link is None:
             return Reply(421, {})
-        relay_for = None if self._is_late_copy(report) else self._relay_for(report, link, trio.current_time())
+        relay_for = None
+        if not self._is_late_copy(report):
+            self.heard(report.zone, report.host)
+            relay_for = self._relay_for(report, link, trio.current_time())
         if relay_for is None:
             return Reply(421, {"foreman": leader})
-        answer = await self._relay(link, request.body, 0)
+        answer = await self._relay(link, body, 0)
         if answer is None or answer.status != 200:
             return Reply(421, {})
         if relay_for:
--- a/ladderfield/zones/evidence.py
+++ b/ladderfield/zones/evidence.py
@@ -13,6 +13,7 @@
     impaired: int = 0  # silent, or on a way round a leader they can't reach, or deaf to what we say
     unheard: int = 0  # silent
     lapsed: int = 0  # of these: those whose lease is surely over
+    straight: int = 0  # came straight to us lately
 
     @property
     def present(self) -> int:
--- a/ladderfield/zones/options.py
+++ b/ladderfield/zones/options.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ladderfield.flags import FlagError
 from ladderfield.zones.health import HOLD_MOST_S
 from ladderfield.zones.order import ReturnOrder, ReturnOrderError, parse_order
 
@@ -18,11 +19,8 @@
 WINDOW, TIME_ZONE, HOLIDAYS = "--zone-window", "--zone-time-zone", "--zone-holidays"
 
 
-class ZoneOptionError(Exception):
-    """A flag can't be used; the text is one line that names it."""
-
-    def __init__(self, flag: str, why: str) -> None:
-        super().__init__(f"{flag}: {why}")
+class ZoneOptionError(FlagError):
+    """A flag about zones can't be used."""
 
 
 @dataclass(frozen=True)
