--- a/benchmarks/link_cuts.py
+++ b/benchmarks/link_cuts.py
@@ -13,7 +13,7 @@
 import trio.testing
 
 from ladderfield.testing.history import Fault
-from ladderfield.testing.link_cuts import Scenario, play, scenarios
+from ladderfield.testing.link_cuts import Scenario, further_scenarios, play, scenarios
 
 
 def play_once(scenario: Scenario) -> list[Fault]:
@@ -29,9 +29,10 @@
 @click.command()
 @click.option("--part", default=0, show_default=True)
 @click.option("--parts", default=1, show_default=True)
-def main(part: int, parts: int) -> None:
+@click.option("--further", is_flag=True, help="Those with leadership by reach, or a second controller that fails.")
+def main(part: int, parts: int, further: bool) -> None:
     """Play a part of all scenarios and print those with faults."""
-    chosen = list(scenarios())[part::parts]
+    chosen = list(further_scenarios() if further else scenarios())[part::parts]
     bad = 0
     for scenario in chosen:
         faults = play_once(scenario)
--- a/ladderfield/test_link_cuts.py
+++ b/ladderfield/test_link_cuts.py
@@ -6,15 +6,26 @@
 import trio
 
 from ladderfield.testing.cluster import cluster
-from ladderfield.testing.link_cuts import LINKS, REPORT_S, Scenario, address, blocked, play, sample, scenarios
+from ladderfield.testing.link_cuts import (
+    LINKS,
+    REPORT_S,
+    Scenario,
+    address,
+    blocked,
+    further_scenarios,
+    play,
+    sample,
+    scenarios,
+)
 from ladderfield.testing.network import Link
 
-IN_CI = 10
-SEED = 25
+IN_CI, FURTHER_IN_CI = 10, 12
+SEED, FURTHER_SEED = 25, 29
 
 
 def test_the_scenarios_cover_every_link_alone_and_in_pairs() -> None:
     everything = list(scenarios())
+    assert len(set(further_scenarios())) == len(list(further_scenarios())) == len(everything) + len(LINKS) * 12 * 4
     assert len(everything) == len(set(everything)) == (len(LINKS) + len(LINKS) * (len(LINKS) - 1) // 2) * 2 * 2 * 3
 
 
@@ -23,6 +34,13 @@
     assert await play(monkeypatch, scenario) == []
 
 
+@pytest.mark.parametrize("scenario", sample(FURTHER_IN_CI, FURTHER_SEED, further_scenarios()), ids=str)
+async def test_a_cut_link_breaks_no_rule_while_another_controller_fails_or_leadership_goes_by_reach(
+    monkeypatch: pytest.MonkeyPatch, scenario: Scenario
+) -> None:
+    assert await play(monkeypatch, scenario) == []
+
+
 @pytest.mark.parametrize("mode", ["silent", "refused"])
 async def test_a_cut_is_one(monkeypatch: pytest.MonkeyPatch, mode: str) -> None:
     """What is cut does not get through, in that direction only, on kept connections too; mended, it does again."""
@@ -32,12 +50,12 @@
         cuts = whole.net.silent if mode == "silent" else whole.net.refused
         cuts.update(blocked(whole, first, "state"))
         await trio.sleep(4 * REPORT_S)
-        assert whole.leader() != first and not whole.controllers[first].jobs_api.state_ok
+        assert whole.leader() != first and not whole.controllers[first].reachability.state_ok
         assert whole.controllers[whole.leader()].leadership.known_epoch() > epoch
-        assert all(one.jobs_api.state_ok for number, one in whole.controllers.items() if number != first)
+        assert all(one.reachability.state_ok for number, one in whole.controllers.items() if number != first)
         whole.net.mend()
         await trio.sleep(4 * REPORT_S)
-        assert whole.controllers[first].jobs_api.state_ok
+        assert whole.controllers[first].reachability.state_ok
 
 
 async def test_a_cut_of_reports_leaves_orders_alone(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/ladderfield/testing/link_cuts.py
+++ b/ladderfield/testing/link_cuts.py
@@ -1,28 +1,31 @@
 """Cuts of single links between a controller and everything else, generated, and what users do meanwhile.
 
-A scenario blocks one or two links of one controller, in one direction, for a time; users submit, cancel, ask and wait
-at all controllers. Afterwards the history of runs and answers is judged (``testing/history.py``).
+A scenario blocks one or two links of one controller, in one direction, for a time, and may kill or hold another one
+meanwhile; users submit, cancel, ask and wait at all controllers. Afterwards the history of runs and answers is judged
+(``testing/history.py``).
 """
 
 from __future__ import annotations
 
 import itertools
 import random
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
 
 import pytest
 import trio
 
+from ladderfield.connectivity.options import ReachOptions
 from ladderfield.http import NoAnswerError
 from ladderfield.testing.cluster import Cluster, cluster
 from ladderfield.testing.history import Fault, Run, Told, faults
+from ladderfield.testing.network import WORKERS as WORKERS_ALL
 from ladderfield.testing.network import Link
 from ladderfield.testing.samples import SETTINGS, job
 
 WORKERS = SETTINGS["cluster"]["workers"]
 REPORT_S, LEASE_S, CANCEL_S = WORKERS["report_s"], WORKERS["lease_s"], WORKERS["cancel_s"]
-STATE, CLOUD = "10.2.0.1", "10.2.0.2"
+STATE, CLOUD, USERS = "10.2.0.1", "10.2.0.2", ""
 ROLES = ("leader", "follower")
 LINKS = ("state", "cloud", "to peers", "from peers", "reports of za", "reports of zb", "orders to za", "orders to zb")
 MODES = ("silent", "refused")
@@ -31,6 +34,9 @@
 SETTLE_S = 45.0  # after the cut: more than grace, lease and an election
 LATE_START_S = 2 * REPORT_S  # an order that was under way when a cancellation was confirmed
 ASK_EVERY_S = 1.7
+OTHERS = ("killed", "held")
+OTHER_AWAY_S = 0.7 * LEASE_S  # a killed one is back then, and a held one goes on
+BY_REACH = ReachOptions(minimum_tenure_s=LEASE_S, stand_back_s=2 * REPORT_S)
 
 
 @dataclass(frozen=True)
@@ -41,10 +47,14 @@
     links: tuple[str, ...]
     mode: str
     for_s: float
+    other: str = "well"  # what becomes of another controller meanwhile
+    by_reach: bool = False
 
     def __str__(self) -> str:
         """Its name in a test's id."""
-        return f"{self.role}: {' and '.join(self.links)}, {self.mode}, {self.for_s:.0f} s"
+        name = f"{self.role}: {' and '.join(self.links)}, {self.mode}, {self.for_s:.0f} s"
+        name += "" if self.other == "well" else f", another {self.other}"
+        return name + (", by reach" if self.by_reach else "")
 
 
 def scenarios() -> Iterator[Scenario]:
@@ -55,9 +65,19 @@
                 yield Scenario(role, links, mode, for_s)
 
 
-def sample(count: int, seed: int) -> list[Scenario]:
+def further_scenarios() -> Iterator[Scenario]:
+    """The same with leadership by reach; and single links while a second controller fails, with it and without."""
+    for scenario in scenarios():
+        yield replace(scenario, by_reach=True)
+    for scenario in scenarios():
+        if len(scenario.links) == 1:
+            for other, by_reach in itertools.product(OTHERS, (False, True)):
+                yield replace(scenario, other=other, by_reach=by_reach)
+
+
+def sample(count: int, seed: int, among: Iterable[Scenario] | None = None) -> list[Scenario]:
     """Some of them."""
-    return random.Random(seed).sample(list(scenarios()), count)
+    return random.Random(seed).sample(list(scenarios() if among is None else among), count)
 
 
 def address(number: int) -> str:
@@ -81,6 +101,31 @@
     return {Link(mine, worker) for worker in zone}
 
 
+def everything(number: int) -> set[Link]:
+    """All links of a controller, in both directions."""
+    mine, others = address(number), [address(other) for other in range(CONTROLLERS) if other != number]
+    ends = [STATE, CLOUD, WORKERS_ALL, USERS, *others]
+    return {Link(mine, end) for end in ends} | {Link(end, mine) for end in ends}
+
+
+def without_workers(number: int) -> set[Link]:
+    """All links between a controller and workers, those that boot later too."""
+    return {Link(address(number), WORKERS_ALL), Link(WORKERS_ALL, address(number))}
+
+
+async def fail(whole: Cluster, number: int, how: str, away_s: float) -> None:
+    """A controller is killed and started again, or stands behind links that hold everything; bounded in time."""
+    if how == "killed":
+        whole.crash(number)
+        await trio.sleep(away_s)
+        whole.start(number)
+        return
+    links = everything(number)
+    whole.net.silent.update(links)
+    await trio.sleep(away_s)
+    whole.net.mend(links)
+
+
 class Users:
     """Submit, cancel and ask at all controllers, and keep every answer."""
 
@@ -147,13 +192,15 @@
 
 async def play(monkeypatch: pytest.MonkeyPatch, scenario: Scenario) -> list[Fault]:
     """Play one scenario; what was wrong with it."""
-    async with cluster(monkeypatch) as whole:
+    async with cluster(monkeypatch, reach_options=BY_REACH if scenario.by_reach else None) as whole:
         whole.run_s = 6.0
         users = Users(whole)
         service = await users.submit(shape="daemon", rungs=2, owner="blue")
         doomed = await users.submit(shape="daemon", rungs=2, owner="blue")
         arrays = [await users.submit(rungs=4, owner="blue") for _ in range(2)]
         await trio.sleep(3 * REPORT_S)
+        if scenario.by_reach:
+            await trio.sleep(LEASE_S)  # a leader is old enough to resign
         number = whole.leader()
         if scenario.role == "follower":
             number = (number + 1) % CONTROLLERS
@@ -161,10 +208,13 @@
             nursery.start_soon(users.look)
             links = set[Link]().union(*(blocked(whole, number, name) for name in scenario.links))
             (whole.net.silent if scenario.mode == "silent" else whole.net.refused).update(links)
+            if scenario.other != "well":
+                another = next(other for other in sorted(whole.controllers, reverse=True) if other != number)
+                nursery.start_soon(fail, whole, another, scenario.other, OTHER_AWAY_S)
             nursery.start_soon(users.cancel, doomed)
             arrays.append(await users.submit(rungs=3, owner="blue"))
             await trio.sleep(scenario.for_s)
-            whole.net.mend()
+            whole.net.mend(links)
             arrays.append(await users.submit(rungs=3, owner="blue"))
             await trio.sleep(SETTLE_S)
             nursery.cancel_scope.cancel()
