--- a/benchmarks/zone_flaps.py
+++ b/benchmarks/zone_flaps.py
@@ -11,7 +11,8 @@
 import trio
 from ddsketch import DDSketch
 
-from ladderfield.testing.loopback_zones import ZONES, batch_before_service, flap
+from ladderfield.testing.loopback import ZONES
+from ladderfield.testing.loopback_zones import batch_before_service, flap
 from ladderfield.zones.options import ZoneFlags, check
 
 
--- a/ladderfield/connectivity/reachability.py
+++ b/ladderfield/connectivity/reachability.py
@@ -70,8 +70,11 @@
         link = self.links.get((side, name))
         return link is None or link.state is LinkState.OPEN
 
-    def look(self, now: float) -> None:
-        """Judge the workers' links anew; to be called at least every ``report_s``."""
+    def look(self, now: float, came_back: int = 0) -> None:
+        """Judge the workers' links anew; to be called at least every ``report_s``.
+
+        ``came_back``: workers that other controllers say can't reach us.
+        """
         stood_still = self._looked_at is not None and now - self._looked_at > STANDSTILL * self.report_s
         self._looked_at = now
         if stood_still:
@@ -80,11 +83,11 @@
             self.cut, self._judged_from = Directions(), now + self.workers.window_s
         if now < self._judged_from:
             return
-        judged = judge if self.workers.leads else judge_follower
-        before, self.cut = self.cut, judged(self.zones(now), self.cut)
+        before, zones = self.cut, self.zones(now)
+        self.cut = judge(zones, before, came_back) if self.workers.leads else judge_follower(zones, before)
         if self.cut != before:
             self.cut_since = now
-            reach = total(self.zones(now))
+            reach = total(zones)
             log.info(
                 "workers: reports %s, orders %s: %d of %d machines report here, %d of %d exchanges with them answered",
                 "don't come in" if self.cut.inward else "come in", "don't go out" if self.cut.outward else "go out",
--- a/ladderfield/connectivity/succession.py
+++ b/ladderfield/connectivity/succession.py
@@ -55,6 +55,11 @@
         better = [member for member, word in fresh.items() if clearly_more(own, cut, word)]
         return max(better, key=lambda member: (fresh[member].reach.heard, member), default=None)
 
+    def came_back(self, now: float) -> int:
+        """How many workers other controllers say can't reach the leader."""
+        fresh = _fresh(self.peers, now, WORD_S * self.report_s)
+        return sum(word.reach.heard for word in fresh.values())
+
     def should_resign(self, own: ZoneReach, cut: Directions, term_from: float, now: float) -> str | None:
         """For whom a leader should make way: only one that workers can't reach, and not before its minimum tenure."""
         if not cut.inward or now - term_from < self.options.minimum_tenure_s:
--- a/ladderfield/connectivity/worker_reach.py
+++ b/ladderfield/connectivity/worker_reach.py
@@ -18,7 +18,10 @@
 
 
 class ZoneReach(NamedTuple):
-    """Machines of a zone of which we know, and those that report to us; exchanges that we began, and those answered."""
+    """Machines of a zone of which we know; those that report to us; exchanges that we began, and those answered.
+
+    To a controller that is not leader report only those that could not reach the leader, to which they were sent.
+    """
 
     known: int = 0
     heard: int = 0
@@ -50,10 +53,17 @@
     return all(through <= FEW_SHARE * expected for expected, through in pairs)
 
 
-def judge(zones: Mapping[str, ZoneReach], before: Directions) -> Directions:
-    """In which directions a leader, to which all workers should report, is cut off from them."""
-    inward = is_cut([(zone.known, zone.heard) for zone in zones.values()], before.inward)
-    return Directions(inward, _outward(zones, before))
+def judge(zones: Mapping[str, ZoneReach], before: Directions, came_back: int = 0) -> Directions:
+    """In which directions a leader, to which all workers should report, is cut off from them.
+
+    That reports come by way of others is no proof by itself: after a change of leader workers stay for a while where
+    they were. Either our orders don't go out as well, or most workers came back to others after they were sent to us:
+    ``came_back`` is how many of these other controllers tell of.
+    """
+    outward = _outward(zones, before)
+    roundabout = is_cut([(zone.known, zone.heard) for zone in zones.values()], before.inward)
+    known = sum(zone.known for zone in zones.values())
+    return Directions(roundabout and (outward or 2 * came_back >= known), outward)
 
 
 def judge_follower(zones: Mapping[str, ZoneReach], before: Directions) -> Directions:
@@ -132,7 +142,7 @@
             self._zone(zone).on_record = number
 
     def reported(self, zone: str, host: str, now: float) -> None:
-        """A worker's report came here straight from it. Zones that are not on record are not counted."""
+        """A worker that can't reach the leader reported here. Zones that are not on record are not counted."""
         if zone in self._zones:
             self._zones[zone].reporters.add(host, now)
 
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -211,6 +211,7 @@
                         term = None
                     if term is not None:
                         await self._serve(term, terms, changes)
+                        self._vacant_since = None
                         await self._release(term)
                     else:
                         await trio.sleep(self.ttl / 10)
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -83,7 +83,7 @@
             settings, self.leadership, self.view, self.reachability, self.links, self.succession
         )
         self.prober = WorkerProber(settings, self.view, self.reachability, reach_options is not None)
-        self.reports.heard = lambda zone, host: self.reachability.workers.reported(zone, host, trio.current_time())
+        self.reports.unable = lambda zone, host: self.reachability.workers.reported(zone, host, trio.current_time())
         self.authority_log = AuthorityLog()
         self.cancellation_sync.deliver = lambda uids: self.reports.tell_leader(CancellationsLearned(uids))
 
@@ -155,7 +155,7 @@
 
     def _observe_reach(self, now: float) -> None:
         """Judge which links work, and say on the log what follows from it."""
-        self.reachability.look(now)
+        self.reachability.look(now, 0 if self.succession is None else self.succession.came_back(now))
         self.authority_log.observe(self.leadership.authority(), now)
 
     def _reachable_zones(self) -> dict[str, bool]:
--- a/ladderfield/testing/link_cuts.py
+++ b/ladderfield/testing/link_cuts.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
+from typing import Any, Protocol
 
 import pytest
 import trio
@@ -22,6 +23,7 @@
 from ladderfield.testing.network import WORKERS as WORKERS_ALL
 from ladderfield.testing.network import Link
 from ladderfield.testing.samples import SETTINGS, job
+from ladderfield.testing.worker import Worker
 
 WORKERS = SETTINGS["cluster"]["workers"]
 REPORT_S, LEASE_S, CANCEL_S = WORKERS["report_s"], WORKERS["lease_s"], WORKERS["cancel_s"]
@@ -126,10 +128,19 @@
     whole.net.mend(links)
 
 
+class Served(Protocol):
+    """A cluster that users can ask, in memory or over real sockets."""
+
+    jobs: dict[str, dict[str, Any]]
+
+    async def call(self, node: int, method: str, path: str, body: Any = None) -> tuple[int, dict[str, Any]]:
+        """A user's request at a controller."""
+
+
 class Users:
     """Submit, cancel and ask at all controllers, and keep every answer."""
 
-    def __init__(self, whole: Cluster) -> None:
+    def __init__(self, whole: Served) -> None:
         self.whole = whole
         self.told: list[Told] = []
         self.cancelled: set[str] = set()
@@ -179,10 +190,10 @@
             await trio.sleep(ASK_EVERY_S)
 
 
-def runs(whole: Cluster) -> list[Run]:
+def runs(workers: Iterable[Worker]) -> list[Run]:
     """What all machines ran."""
     result = []
-    for worker in whole.cloud.workers.values():
+    for worker in workers:
         worker.on()
         ends = {(name, attempt): at for at, name, attempt in worker.ended}
         for at, name, attempt in worker.log:
@@ -218,7 +229,7 @@
             arrays.append(await users.submit(rungs=3, owner="blue"))
             await trio.sleep(SETTLE_S)
             nursery.cancel_scope.cancel()
-        found = faults(runs(whole), users.told, CANCEL_S, LATE_START_S)
+        found = faults(runs(whole.cloud.workers.values()), users.told, CANCEL_S, LATE_START_S)
         found += [Fault("not_served", uid) for uid in arrays if await whole.phase(0, uid) != "done"]
         if sum(name.startswith(service) for name in whole.on()) != 2:
             found.append(Fault("not_served", f"{service}: {sorted(whole.on())}"))
--- a/ladderfield/testing/loopback_zones.py
+++ b/ladderfield/testing/loopback_zones.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,14 +12,14 @@
 from ladderfield.server import serve
 from ladderfield.settings import Settings
 from ladderfield.testing.cloud_service import CloudService
+from ladderfield.testing.loopback import ZONES, Addresses, Pace, free_ports, listen, raw_settings
 from ladderfield.testing.network import Network
-from ladderfield.testing.samples import SETTINGS, TYPES, job
+from ladderfield.testing.samples import TYPES, job
 from ladderfield.testing.state_service import StateService
 from ladderfield.testing.worker import Worker
 from ladderfield.zones.health import HOLD_MOST_S
 from ladderfield.zones.options import ZoneOptions
 
-ZONES = ("za", "zb", "zc")
 REPORT_S, LEASE_S, CANCEL_S = 0.4, 2.0, 8.0
 FETCH_S, RUN_S = 0.3, 0.6
 REPLICAS = 3
@@ -29,15 +28,6 @@
 ATTEMPTS = 100
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports on loopback that nobody listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 @dataclass
 class Outage:
     """One absence of the zone, and what ran there after it."""
@@ -66,31 +56,15 @@
         state = StateService()
         self.nursery.start_soon(state.run)
         for port, handler in ((self.ports[6], state), (self.ports[7], self.cloud)):
-            self.nursery.start_soon(self._listen, port, Server(handler, 200, 5.0, 60.0))
+            self.nursery.start_soon(listen, f"127.0.0.1:{port}", Server(handler, 200, 5.0, 60.0))
         for number in range(len(ZONES)):
             self.nursery.start_soon(serve, self._settings(number), self.options)
 
-    async def _listen(self, port: int, server: Server) -> None:
-        await trio.serve_listeners(server, await trio.open_tcp_listeners(port, host="127.0.0.1"))
-
     def _settings(self, number: int) -> Settings:
-        """One controller's settings: it stands in the zone of its number."""
-
-        def at(index: int) -> str:
-            return f"127.0.0.1:{self.ports[index]}"
-
-        cluster = msgspec.json.decode(msgspec.json.encode(SETTINGS["cluster"])) | {"zones": list(ZONES)}
-        cluster["workers"] = {"report_s": REPORT_S, "lease_s": LEASE_S, "cancel_s": CANCEL_S}
-        cluster["cloud"] = {"rps": 20.0, "list_lag_s": 0.5}
-        cluster["state"] |= {"rps": 400.0, "write_rps": 100.0}
-        peers = [
-            {"member": f"n{n}", "location": ZONES[n], "endpoint": at(3 + n)} for n in range(len(ZONES)) if n != number
-        ]
-        raw = {
-            "member": f"n{number}", "location": ZONES[number], "bind": at(number), "back": at(3 + number),
-            "peers": peers, "outside": {"state": at(6), "cloud": at(7)}, "cluster": cluster,
-        }  # fmt: skip
-        return msgspec.convert(raw, Settings)
+        """One controller's settings."""
+        at = [f"127.0.0.1:{port}" for port in self.ports]
+        addresses = Addresses(at[:3], at[3:6], at[6], at[7])
+        return msgspec.convert(raw_settings(number, addresses, Pace(REPORT_S, LEASE_S, CANCEL_S)), Settings)
 
     def _boot(self, host: str, hire: dict[str, Any]) -> Worker:
         """A rented machine is up at once; in a zone that is cut off it can't be reached."""
@@ -102,7 +76,7 @@
         worker.endless = lambda uid: self.specs[uid]["shape"] == "daemon"
         if hire["yard"] in self.cut_zones:
             self.net.cut.add(worker.address)
-        self.nursery.start_soon(self._listen, port, Server(worker, 20, 5.0, 60.0))
+        self.nursery.start_soon(listen, worker.address, Server(worker, 20, 5.0, 60.0))
         self.nursery.start_soon(worker.run)
         return worker
 
--- a/ladderfield/testing/network.py
+++ b/ladderfield/testing/network.py
@@ -5,7 +5,7 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from contextvars import ContextVar
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import trio
 import trio.testing
@@ -16,7 +16,8 @@
 origin: ContextVar[str] = ContextVar("origin", default="")  # the host on which the present task runs
 
 
-WORKERS = "10.9."  # the beginning of every worker's address: stands for all of them in a link
+WORKERS = "workers"  # stands for all of them in a link
+WORKER_NETS = ("10.9.", "127.9.")  # how their addresses begin, in memory and on loopback
 
 
 class Link(NamedTuple):
@@ -51,7 +52,7 @@
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
         """Stands for ``ladderfield.http.connect``."""
         link = Link(origin.get(), host)
-        if _blocked(link, self.refused) or _blocked(Link(host, link.source), self.refused):
+        if blocked(link, self.refused) or blocked(Link(host, link.source), self.refused):
             raise OSError("refused")
         await self.passes(link)
         await self.passes(Link(host, link.source))
@@ -67,15 +68,15 @@
 
     async def passes(self, link: Link) -> None:
         """Wait until what is sent in this direction arrives; OSError if it is reset."""
-        while _blocked(link, self.silent):
+        while blocked(link, self.silent):
             await self.mended.wait()
-        if _blocked(link, self.refused):
+        if blocked(link, self.refused):
             raise OSError("reset")
 
     def mend(self, links: set[Link] | None = None) -> None:
         """These links, or all, are whole again; what was held goes on."""
-        for blocked in (self.silent, self.refused):
-            blocked.difference_update(blocked.copy() if links is None else links)
+        for closed in (self.silent, self.refused):
+            closed.difference_update(closed.copy() if links is None else links)
         self.mended.set()
         self.mended = trio.Event()
 
@@ -95,17 +96,26 @@
             scope.cancel()
 
 
-def _blocked(link: Link, links: set[Link]) -> bool:
+def blocked(link: Link, links: set[Link]) -> bool:
     """Whether a link is among these, by itself or as one of all workers."""
-    source = WORKERS if link.source.startswith(WORKERS) else link.source
-    target = WORKERS if link.target.startswith(WORKERS) else link.target
-    return bool(links) and (link in links or Link(source, target) in links)
+    if not links:
+        return False
+    source = WORKERS if link.source.startswith(WORKER_NETS) else link.source
+    target = WORKERS if link.target.startswith(WORKER_NETS) else link.target
+    return link in links or Link(source, target) in links
+
+
+class Passage(Protocol):
+    """What tells whether a link is open."""
+
+    async def passes(self, link: Link) -> None:
+        """Wait until what is sent in this direction arrives; OSError if it is reset."""
 
 
 class LinkedStream(trio.abc.Stream):
     """The asking side of a connection, which a cut holds up or resets in either direction."""
 
-    def __init__(self, stream: trio.abc.Stream, network: Network, link: Link) -> None:
+    def __init__(self, stream: trio.abc.Stream, network: Passage, link: Link) -> None:
         self.stream, self.network, self.link = stream, network, link
 
     async def send_all(self, data: Any) -> None:
--- a/ladderfield/workers/report_handler.py
+++ b/ladderfield/workers/report_handler.py
@@ -32,7 +32,9 @@
     def __init__(self, settings: Settings, leadership: Leadership, links: dict[str, PeerLink]) -> None:
         self.leadership, self.links = leadership, links
         self.lease_s = settings.cluster.workers.lease_s
-        self.heard: Callable[[str, str], None] = lambda zone, host: None  # a worker came straight here
+        # Told of each report of a worker (its zone and host) that surely can't reach the present leader.
+        self.unable: Callable[[str, str], None] = lambda zone, host: None
+        self._unable_to_reach: OrderedDict[str, str] = OrderedDict()  # worker -> the leader from which it came back
         self.inbox: trio.MemorySendChannel[Message] | None = None  # set while this controller is leader
         self._redirected_at: OrderedDict[str, float] = OrderedDict()  # worker -> when it was named the leader
         self._relayed_until: OrderedDict[str, float] = OrderedDict()  # worker -> until when its reports are relayed
@@ -65,8 +67,9 @@
             return Reply(421, {})
         relay_for = None
         if not self._is_late_copy(report):
-            self.heard(report.zone, report.host)
             relay_for = self._relay_for(report, link, trio.current_time())
+            if self._unable_to_reach.get(report.host) == leader:
+                self.unable(report.zone, report.host)
         if relay_for is None:
             return Reply(421, {"foreman": leader})
         answer = await self._relay(link, body, 0)
@@ -105,6 +108,7 @@
             return 0.0
         if now - self._redirected_at.get(host, -math.inf) < self.lease_s:
             log.info("machine %s: can't reach %s, its reports are relayed", host, link.peer.member)
+            self._remember(self._unable_to_reach, host, link.peer.member)
             return RELAY_FOR * self.lease_s
         lately = now - self._relayed_until.get(host, -math.inf) < self.lease_s  # then it is sent there, to see
         if report.epoch == self.leadership.known_epoch() and not lately:
--- a/ladderfield/zones/test_loopback.py
+++ b/ladderfield/zones/test_loopback.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from ladderfield.testing.loopback_zones import REPLICAS, ZONES, batch_before_service, flap
+from ladderfield.testing.loopback import ZONES
+from ladderfield.testing.loopback_zones import REPLICAS, batch_before_service, flap
 from ladderfield.zones.options import ZoneFlags, check
 
 FLAPS = 3
