--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -4,22 +4,18 @@
 
 import logging
 import math
-from typing import TYPE_CHECKING
 
 from ladderfield.clocks import CLOCKS
 from ladderfield.connectivity.authority import Decision
 from ladderfield.connectivity.reachability import WINDOW
+from ladderfield.leader.tables import SILENT, LeaderTables
 from ladderfield.queues.work import task_name
 from ladderfield.workers.machine import UNKNOWN, Machine
 from ladderfield.workers.report import ANSWER_S, NEXT_S
 from ladderfield.zones.evidence import ZoneCounts
 
-if TYPE_CHECKING:
-    from ladderfield.leader.scheduler import Scheduler
-
 log = logging.getLogger(__name__)
 
-SILENT = 2.0  # of report_s: no new work for a machine not heard for so long
 LATEST = 1.25  # of report_s, the protocol: the longest between two reports
 LOST = 3.0  # of report_s: given up, and deleted so that its claims end
 LOST_TOGETHER = 0.8  # of lease_s: the same when half of a zone's machines went silent, as in a cut that may heal
@@ -29,17 +25,17 @@
 
 
 class FailureDetector:
-    """Judges machines on the scheduler's tables."""
+    """Judges machines on the leader's tables."""
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.scheduler = scheduler
+    def __init__(self, tables: LeaderTables) -> None:
+        self.tables = tables
         self._mostly_silent = False
         self.most_cannot_report = False  # then the fault is likely ours, and other machines would be no better off
         self.zones: dict[str, ZoneCounts] = {}
         self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
-        self.way = LATEST * scheduler.report_s + ANSWER_S + 2 * NEXT_S
-        self._together = LOST_TOGETHER * scheduler.lease_s
+        self.way = LATEST * tables.report_s + ANSWER_S + 2 * NEXT_S
+        self._together = LOST_TOGETHER * tables.lease_s
 
     def observe(self, now: float) -> None:
         """See which zones are cut off.
@@ -47,8 +43,8 @@
         At least half of the machines there, and more than one, are silent, or have lately begun to come by way of
         another controller. Then those that are silent are likely on such a way, or would be if there were one.
         """
-        scheduler, known, mute = self.scheduler, dict[str, ZoneCounts](), 0
-        for machine in scheduler.machines.values():
+        tables, known, mute = self.tables, dict[str, ZoneCounts](), 0
+        for machine in tables.machines.values():
             # Guards work against machines that can't reach any controller while our commands reach them: their lease
             # runs out, and with it ends all that would be begun there.
             came_at = machine.up_at if machine.reported_at is None else machine.reported_at
@@ -56,7 +52,7 @@
             mute += machine.cannot_report
             if machine.heard_at is not None or machine.claims:
                 self._count(known.setdefault(machine.zone, ZoneCounts()), machine, now)
-        self.most_cannot_report = 2 * mute > len(scheduler.machines)
+        self.most_cannot_report = 2 * mute > len(tables.machines)
         counts = known.values()
         self._mostly_silent = 2 * sum(one.impaired for one in counts) > sum(one.machines for one in counts)
         self.cut = {zone for zone, one in known.items() if one.impaired > 1 and one.impaired * 2 >= one.machines}
@@ -64,32 +60,32 @@
 
     def _count(self, zone: ZoneCounts, machine: Machine, now: float) -> None:
         """Count a machine for its zone."""
-        scheduler = self.scheduler
+        tables = self.tables
         zone.machines += 1
-        silent = machine.silent_for(now, scheduler.term_from) > SILENT * scheduler.report_s
-        detour = machine.relayed and now - machine.detour_at < DETOURS * scheduler.lease_s
+        silent = machine.silent_for(now, tables.term_from) > SILENT * tables.report_s
+        detour = machine.relayed and now - machine.detour_at < DETOURS * tables.lease_s
         zone.impaired += silent or detour or machine.not_hearing_since is not None
         if silent:
             zone.unheard += 1
             zone.lapsed += now > self.lease_over_at(machine)
         straight = not machine.relayed and machine.reported_at is not None
-        zone.straight += straight and now - (machine.reported_at or 0.0) <= WINDOW * scheduler.report_s
+        zone.straight += straight and now - (machine.reported_at or 0.0) <= WINDOW * tables.report_s
 
     def lease_over_at(self, machine: Machine) -> float:
         """When the machine's lease is surely over."""
-        scheduler = self.scheduler
-        unheard = scheduler.authority().verdict(Decision.END_UNHEARD_CLAIM)
-        return machine.lease_over_at(scheduler.epoch, scheduler.term_from, unheard.since, scheduler.lease_s)
+        tables = self.tables
+        unheard = tables.authority().verdict(Decision.END_UNHEARD_CLAIM)
+        return machine.lease_over_at(tables.epoch, tables.term_from, unheard.since, tables.lease_s)
 
     def _patience(self, machine: Machine, now: float) -> float:
         """How long the machine may be silent."""
-        scheduler, cut, term_from = self.scheduler, machine.zone in self.cut, self.scheduler.term_from
-        unheard = scheduler.authority().verdict(Decision.END_UNHEARD_CLAIM)
+        tables, cut, term_from = self.tables, machine.zone in self.cut, self.tables.term_from
+        unheard = tables.authority().verdict(Decision.END_UNHEARD_CLAIM)
         alone = unheard.holds(now)
         # After a takeover a machine may still be on its way between controllers, some of which don't answer; and one
         # that is relayed is sent to us now and then, and waits there before it goes the other way.
         finding = machine.fresh_at is None
-        patience = LOST * scheduler.report_s
+        patience = LOST * tables.report_s
         if cut or (finding and not alone):
             patience = max(patience, self._together)
         elif finding or machine.relayed:
@@ -97,10 +93,10 @@
         if cut and not machine.replicas:
             # Guards against giving a whole zone up for a cut that heals: its tasks begin anew elsewhere once their
             # lease is over, and to wait for the machine costs no more than to boot another.
-            patience = max(patience, scheduler.lease_s * CLOCKS + machine.kind.boot_s)
+            patience = max(patience, tables.lease_s * CLOCKS + machine.kind.boot_s)
         if machine.up_at is None:
             # A leader before us may still be answering it; to delete what runs well would be our doing.
-            until = unheard.since if self._mostly_silent else scheduler.earlier.zones.get(machine.zone, 0.0)
+            until = unheard.since if self._mostly_silent else tables.earlier.zones.get(machine.zone, 0.0)
             until = min(until, unheard.since)
             if until > term_from:
                 few = alone and not cut and not self._mostly_silent
@@ -112,15 +108,15 @@
 
         It may come back, but nothing of it can be counted on.
         """
-        silent = machine.silent_for(now, self.scheduler.term_from)
-        return machine.zone in self.cut and silent > self.scheduler.lease_s * CLOCKS
+        silent = machine.silent_for(now, self.tables.term_from)
+        return machine.zone in self.cut and silent > self.tables.lease_s * CLOCKS
 
     def needs_no_decision(self, machine: Machine, now: float) -> bool:
         """Whether a look at it tells already that nothing is to be decided: of hundreds nearly all are."""
         return (
-            machine.usable(now, SILENT * self.scheduler.report_s)
+            machine.usable(now, SILENT * self.tables.report_s)
             and machine.listed != "failed"
-            and not (machine.claims and self.scheduler.cancelled_at)
+            and not (machine.claims and self.tables.cancelled_at)
         )
 
     def must_let_lease_end(self, host: str, now: float) -> bool:
@@ -129,20 +125,20 @@
         Its cancellation was confirmed so long ago that one more answer would keep it beyond cancel_s. Guards
         ``ran_cancelled`` where the machine can't be deleted: the cloud is down, or the right to delete is gone.
         """
-        machine = self.scheduler.machines.get(host)
-        if machine is None or not self.scheduler.cancelled_at:
+        machine = self.tables.machines.get(host)
+        if machine is None or not self.tables.cancelled_at:
             return False
-        times = (self.scheduler.cancelled_at.get(claim.job.uid, math.inf) for claim in machine.claims.values())
-        return now > self.scheduler.authority().answers_cancelled_until(min(times, default=math.inf))
+        times = (self.tables.cancelled_at.get(claim.job.uid, math.inf) for claim in machine.claims.values())
+        return now > self.tables.authority().answers_cancelled_until(min(times, default=math.inf))
 
     def reason_to_delete(self, machine: Machine, now: float) -> str | None:
         """Why the machine has to go, or None."""
-        scheduler = self.scheduler
+        tables = self.tables
         if machine.listed == "failed":
             return "it failed"
-        silent, patience = machine.silent_for(now, scheduler.term_from), self._patience(machine, now)
+        silent, patience = machine.silent_for(now, tables.term_from), self._patience(machine, now)
         booted = machine.heard_at is not None or machine.claims or machine.kind is UNKNOWN
-        silence_counts = scheduler.authority().allows(Decision.GIVE_UP_MACHINE, now)
+        silence_counts = tables.authority().allows(Decision.GIVE_UP_MACHINE, now)
         if booted and silent > patience and silence_counts:
             return f"no sign that it is well for {silent:.1f} s"
         if machine.not_hearing_since is not None:
@@ -151,13 +147,13 @@
             if now - machine.not_hearing_since > max(patience, lasting):
                 return "it does not hear us"
         # A successor finds idle machines that have been up for long: they get the time to come to it.
-        found = now - scheduler.term_from > self._together
+        found = now - tables.term_from > self._together
         if not booted and found and now - machine.born_at > BOOT * machine.kind.boot_s:
             return "it never came up"
         if machine.sick and not any(claim.job.spec.service for claim in machine.claims.values()):
             return "it is sick"
         for claim in machine.claims.values():
-            since = scheduler.cancelled_at.get(claim.job.uid)
-            if since is not None and now - since > CANCEL_BY * scheduler.cancel_s:
+            since = tables.cancelled_at.get(claim.job.uid)
+            if since is not None and now - since > CANCEL_BY * tables.cancel_s:
                 return f"it still holds {task_name(claim.task)}, which was cancelled"
         return None
--- a/ladderfield/leader/ledger.py
+++ b/ladderfield/leader/ledger.py
@@ -252,8 +252,9 @@
         pages.most = max(LEAST_BYTES, pages.most // 2)
         for large, moved, done in txn.moved:
             for claim in moved:
-                if claim.page is not None and claim in claim.page.claims:
-                    claim.page.drop_claim(claim)
+                page = pages.of(claim)
+                if page is not None and claim in page.claims:
+                    page.drop_claim(claim)
                     large.add_claim(claim)
             for job, tasks in done.items():
                 if job.final is None:
--- a/ladderfield/leader/pages.py
+++ b/ladderfield/leader/pages.py
@@ -53,7 +53,7 @@
         self.claims[claim] = None
         self.hosts[claim.host] = self.hosts.get(claim.host, 0) + 1
         self.jobs[claim.job] = self.jobs.get(claim.job, 0) + 1
-        claim.page = self
+        claim.page = self.number
 
     def cost(self, claim: Claim) -> int:
         """The bytes that the claim adds to the value."""
@@ -163,6 +163,10 @@
         self.pages[number].stamp = stamp
         return self.pages[number]
 
+    def of(self, claim: Claim) -> Page | None:
+        """The page that holds a claim, if one does."""
+        return None if claim.page is None else self.pages[claim.page]
+
     def holds(self, machine: Machine) -> bool:
         """Whether a claim for the machine fits a page at all, whatever it and its address are called."""
         if ESCAPED * (2 * len(machine.host) + len(machine.endpoint) + len(machine.zone)) < self.most / 2:
@@ -178,7 +182,7 @@
 
         Once the task's end is on record, its old claim says nothing; until then the page should be rewritten some time.
         """
-        page = claim.page
+        page = self.of(claim)
         if page is not None:
             page.drop_claim(claim)
             if not done:
--- a/ladderfield/leader/preemption.py
+++ b/ladderfield/leader/preemption.py
@@ -9,15 +9,13 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
+from ladderfield.leader.tables import LeaderTables
 from ladderfield.queues.pick import locality, placeable, victims
 from ladderfield.queues.work import Claim, Job, Shape, task_name
 from ladderfield.workers.machine import Machine
 
-if TYPE_CHECKING:
-    from ladderfield.leader.scheduler import Scheduler
-
 log = logging.getLogger(__name__)
 
 HOLD = 1.0  # of report_s: how long cleared room is kept for the task it was cleared for
@@ -34,10 +32,10 @@
 
 
 class Preemption:
-    """Stops work on the scheduler's tables, and remembers for whom."""
+    """Stops work on the leader's tables, and remembers for whom."""
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.scheduler = scheduler
+    def __init__(self, tables: LeaderTables) -> None:
+        self.tables = tables
         self._hopeless: set[Shape] = set()  # replicas of this shape find nothing to clear in this pass
         self._reclaimed_at = -math.inf
 
@@ -45,7 +43,7 @@
         """A pass begins."""
         self._hopeless.clear()
         # What teams owe each other is gone through once a round of ticks, not with every report.
-        self._reclaims = now - self._reclaimed_at >= RECLAIM * self.scheduler.report_s
+        self._reclaims = now - self._reclaimed_at >= RECLAIM * self.tables.report_s
         if self._reclaims:
             self._reclaimed_at = now
 
@@ -73,11 +71,11 @@
 
     def within_limit(self, job: Job, now: float) -> None:
         """Have a team's lower ranks give way to its own production replica that the team's limit would keep out."""
-        teams, spec = self.scheduler.teams, job.spec
+        teams, spec = self.tables.teams, job.spec
         over = teams.over_limit(spec)
         own = [
             claim
-            for machine in self.scheduler.machines.values()
+            for machine in self.tables.machines.values()
             for claim in machine.claims.values()
             if claim.job.spec.team == spec.team and claim.job.order[0] > job.order[0]
         ]
@@ -88,13 +86,13 @@
                 break
             over -= claim.job.spec.cpus
             log.info("job %s: task %s gives way within the team's limit", job.uid, task_name(claim.task))
-            self.scheduler.stop(claim, "preempted", now)
+            self.tables.stop(claim, "preempted", now)
 
     def for_guarantee(self, job: Job, machines: list[Machine], now: float) -> None:
         """Take back for a team within its guarantee what others borrowed; they keep all of their own guarantee."""
         if not self._reclaims:
             return
-        teams = self.scheduler.teams
+        teams = self.tables.teams
         spare = teams.borrowed()
         for claim in (claim for machine in machines for claim in machine.claims.values()):
             if claim.stopping is not None and claim.job.spec.team in spare:
@@ -110,7 +108,7 @@
     def _loss(self, claim: Claim, now: float) -> float:
         """The seconds that are lost if it has to begin anew; a run more where its job would then miss an aim."""
         ran = now - (claim.running_at or now)
-        estimates = self.scheduler.estimates
+        estimates = self.tables.estimates
         return ran + (estimates.run_s(claim.job) if estimates.harmed(claim.job, ran, now) else 0.0)
 
     def _clear(
@@ -124,16 +122,16 @@
         once: bool = False,
     ) -> list[Claim]:
         """Clear room for up to so many tasks of a job, where the least is lost; the claims that were stopped."""
-        scheduler, stopped = self.scheduler, list[Claim]()
-        while most > sum(1 for until in job.held.values() if until > now) and scheduler.teams.room(job.spec):
+        tables, stopped = self.tables, list[Claim]()
+        while most > sum(1 for until in job.held.values() if until > now) and tables.teams.room(job.spec):
             clearances = (self._clearance(job, machine, gives_way, fetch, now) for machine in machines)
             best = min((one for one in clearances if one is not None), key=lambda one: one[:2], default=None)
             if best is None or not best.claims:
                 break
-            self._hold(job, scheduler.machines[best.host], now)
+            self._hold(job, tables.machines[best.host], now)
             log.info("job %s: %d tasks on %s give way", job.uid, len(best.claims), best.host)
             for claim in best.claims:
-                scheduler.stop(claim, "preempted", now)
+                tables.stop(claim, "preempted", now)
             stopped += best.claims
             if once:
                 break
@@ -143,7 +141,7 @@
         self, job: Job, machine: Machine, gives_way: Callable[[Claim], bool], fetch: float, now: float
     ) -> Clearance | None:
         """What would have to stop on a machine so that one task of the job fits; None if that can't make room."""
-        if now < machine.hold_until or not placeable(job, machine) or not self.scheduler.zones.admits(machine, job):
+        if now < machine.hold_until or not placeable(job, machine) or not self.tables.zones.admits(machine, job):
             return None
         lower = {
             claim: self._loss(claim, now)
@@ -160,5 +158,5 @@
 
     def _hold(self, job: Job, machine: Machine, now: float) -> None:
         """Keep the cleared room for the job for a while."""
-        job.held[machine.host] = machine.hold_until = now + HOLD * self.scheduler.report_s
+        job.held[machine.host] = machine.hold_until = now + HOLD * self.tables.report_s
         machine.hold_rank = job.order[0]
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -5,17 +5,14 @@
 import logging
 import math
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from ladderfield.jobs.model import MachineType
+from ladderfield.leader.tables import LeaderTables
 from ladderfield.queues.work import Claim, TaskId, task_name
 from ladderfield.workers.machine import UNKNOWN, Machine
 from ladderfield.workers.orders import Order
 from ladderfield.workers.report import Report, Rung
 
-if TYPE_CHECKING:
-    from ladderfield.leader.scheduler import Scheduler
-
 log = logging.getLogger(__name__)
 
 RESEND = 2.0  # of report_s: a stop that shows no effect, or a launch that isn't listed, goes out again
@@ -24,20 +21,20 @@
 
 
 class Sessions:
-    """Takes reports in and hands orders out, on the scheduler's tables."""
+    """Takes reports in and hands orders out, on the leader's tables."""
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.scheduler = scheduler
+    def __init__(self, tables: LeaderTables) -> None:
+        self.tables = tables
 
     def machine(self, host: str, endpoint: str, kind: str, zone: str, spot: bool, now: float) -> Machine | None:
         """The machine's entry, made or completed from what a report or the list says; None if it is gone."""
-        scheduler = self.scheduler
-        if host in scheduler.gone:
+        tables = self.tables
+        if host in tables.gone:
             return None
-        known: MachineType = scheduler.types.get(kind, UNKNOWN)
-        machine = scheduler.machines.get(host)
+        known: MachineType = tables.types.get(kind, UNKNOWN)
+        machine = tables.machines.get(host)
         if machine is None:
-            machine = scheduler.machines[host] = Machine(host, endpoint, known, zone, spot, now)
+            machine = tables.machines[host] = Machine(host, endpoint, known, zone, spot, now)
         elif machine.kind is UNKNOWN or not machine.endpoint:
             machine.learn(endpoint, known, zone, spot)
         return machine
@@ -53,14 +50,14 @@
             self._note_answer(machine, report, now)
         if order <= (machine.tenure, machine.tick) and heard_before is not None:
             return machine  # overtaken on its way: what it lists is no longer so
-        accepted = report.epoch == self.scheduler.epoch
+        accepted = report.epoch == self.tables.epoch
         lost_all = came_back_with_nothing(machine, report)
         self._note_sign_of_life(machine, accepted, now)
         if lost_all:
-            self.scheduler.zones.restarted(machine)
+            self.tables.zones.restarted(machine)
         if report.tenure > machine.tenure:
             machine.unanswered_launches.clear()  # orders of an earlier session are refused from now on
-            recently = heard_before is not None and now - heard_before < self.scheduler.lease_s / 2
+            recently = heard_before is not None and now - heard_before < self.tables.lease_s / 2
             if recently and answered_before is not None:
                 # We heard it all the time and answered, and still its lease has run out.
                 self.ignored(machine, DEAF, now)
@@ -74,40 +71,40 @@
 
     def _note_answer(self, machine: Machine, report: Report, now: float) -> None:
         """Our answer to this report renews the machine's lease."""
-        scheduler, order = self.scheduler, (report.tenure, report.tick)
+        tables, order = self.tables, (report.tenure, report.tick)
         machine.answered_at = now
         newest = machine.answered is None or order > machine.answered  # not a late copy
-        if report.epoch == scheduler.epoch and newest:
+        if report.epoch == tables.epoch and newest:
             machine.reported_at = now
             if machine.cannot_report:
-                machine.cannot_report, scheduler.changed = False, True
+                machine.cannot_report, tables.changed = False, True
         machine.answered = max(order, machine.answered or order)
 
     def _note_sign_of_life(self, machine: Machine, accepted: bool, now: float) -> None:
         """The machine is there; only with our epoch ``accepted`` does it count as well."""
-        scheduler = self.scheduler
+        tables = self.tables
         if machine.heard_at is None:
             log.info("machine %s: %s in %s is up", machine.host, machine.kind.name, machine.zone)
             machine.up_at = now
         machine.heard_at = now
         if accepted:
-            if machine.fresh_at is None or now - machine.fresh_at > scheduler.report_s:
-                scheduler.changed = True
+            if machine.fresh_at is None or now - machine.fresh_at > tables.report_s:
+                tables.changed = True
             machine.fresh_at = now
 
     def _check_machine(self, machine: Machine, report: Report, now: float) -> None:
         """Whether the machine can be put on record, and whether the cloud takes it back."""
-        if not machine.sick and not self.scheduler.pages.holds(machine):
+        if not machine.sick and not self.tables.pages.holds(machine):
             log.warning("machine %s: its name or address is too long to be put on record", machine.host)
             machine.sick = True
         if report.recall_s is not None and machine.recall_at is None:
             machine.recall_at = now + report.recall_s
             log.info("machine %s: taken back in %.1f s", machine.host, report.recall_s)
-            self.scheduler.recalled(machine, now)
+            self.tables.recalled(machine, now)
 
     def _take_tasks(self, machine: Machine, report: Report, accepted: bool, answering: bool, now: float) -> None:
         """Compare the tasks that the report lists with the machine's claims."""
-        scheduler = self.scheduler
+        tables = self.tables
         listed: dict[TaskId, Rung] = {rung.task(): rung for rung in report.rungs}
         machine.seen = {task: (rung.attempt, rung.phase) for task, rung in listed.items()}
         lost = False
@@ -119,13 +116,13 @@
                 sent = claim.sent_tenure
                 if self._gone(machine, claim, report, answering):
                     log.info("task %s: attempt %d is not on %s", task_name(claim.task), claim.attempt, machine.host)
-                    scheduler.end(claim, False, now)
+                    tables.end(claim, False, now)
                 lost = lost or (sent == report.tenure and claim.sent_tenure is None)
         if lost:
             self.ignored(machine, 1, now)
         if machine.not_hearing_since is not None:
-            for claim in [one for one in machine.claims.values() if scheduler.unsent(one, machine)]:
-                scheduler.end(claim, False, now)
+            for claim in [one for one in machine.claims.values() if tables.unsent(one, machine)]:
+                tables.end(claim, False, now)
 
     def ignored(self, machine: Machine, signs: int, now: float) -> None:
         """What we told the machine had no effect.
@@ -137,8 +134,8 @@
         if machine.ignored_signs >= DEAF and machine.not_hearing_since is None:
             machine.not_hearing_since = now
             log.warning("machine %s: reports, but does not hear us", machine.host)
-            self.scheduler.queues.withdraw(machine)
-            self.scheduler.changed = True
+            self.tables.queues.withdraw(machine)
+            self.tables.changed = True
 
     def _gone(self, machine: Machine, claim: Claim, report: Report, answering: bool) -> bool:
         """Whether a claim that the machine doesn't list is surely dead.
@@ -163,7 +160,7 @@
         return claim.stopping is not None
 
     def _listed(self, machine: Machine, claim: Claim, rung: Rung, now: float) -> None:
-        scheduler, job = self.scheduler, claim.job
+        tables, job = self.tables, claim.job
         if (claim.phase is None and not claim.inherited) or (claim.stopping and rung.phase in ("flushing", "exited")):
             machine.confirm_hearing()  # a launch or a stop of ours shows
         claim.sent_tenure = machine.tenure
@@ -172,7 +169,7 @@
             if rung.phase == "running" and claim.phase != "running":
                 claim.running_at = now
                 if not inherited:
-                    scheduler.zones.runs(claim, machine, now)
+                    tables.zones.runs(claim, machine, now)
                 log.debug("task %s: attempt %d runs on %s", task_name(claim.task), claim.attempt, machine.host)
                 machine.use_image(job.spec.image, job.spec.image_gb)
             claim.phase = rung.phase
@@ -180,19 +177,19 @@
         if rung.cause == "done":
             if claim.running_at is not None and len(job.finished_s) < 99:
                 job.finished_s.append(now - claim.running_at)
-                scheduler.estimates.finished(job.spec, now - claim.running_at)
+                tables.estimates.finished(job.spec, now - claim.running_at)
             machine.finished += 1
             machine.blamed.clear()
             machine.use_image(job.spec.image, job.spec.image_gb)
             job.errors = 0
             job.failed_hosts.pop(machine.host, None)
         log.debug("task %s: attempt %d on %s: %s", task_name(claim.task), claim.attempt, machine.host, rung.cause)
-        scheduler.end(claim, rung.cause == "done", now)
+        tables.end(claim, rung.cause == "done", now)
         if rung.cause == "error":
-            scheduler.failed(claim, machine, now)
+            tables.failed(claim, machine, now)
         elif rung.cause in ("no_room", "in_use", "unknown"):
             log.warning("task %s: %s refused it: %s", task_name(claim.task), machine.host, rung.cause)
-            job.not_before = now + scheduler.report_s
+            job.not_before = now + tables.report_s
 
     def orders(self, machine: Machine, now: float, tick: int | None, may_start: bool = True) -> list[Order]:
         """What the machine has to be told now. ``tick``: the report that this answers, None for a push.
@@ -215,7 +212,7 @@
     def _stop_orders(self, machine: Machine, claim: Claim, now: float, may_relaunch: bool) -> list[Order]:
         """What stops a claim's attempt, if it has to be told now."""
         attempt, phase = machine.seen.get(claim.task, (None, ""))
-        resend = RESEND * self.scheduler.report_s
+        resend = RESEND * self.tables.report_s
         if attempt == claim.attempt and phase != "exited" and now - claim.stop_at > resend:
             again = claim.stop_at > -math.inf
             if again and phase != "flushing":
@@ -238,10 +235,10 @@
         if attempt is not None:
             if attempt in machine.unanswered_launches and claim.sent_tenure is None:
                 # The old attempt has to stay listed, as it shields against its own late copies.
-                self.scheduler.avoid(claim.job, machine, now)
-                self.scheduler.end(claim, False, now)
+                self.tables.avoid(claim.job, machine, now)
+                self.tables.end(claim, False, now)
             return []
-        if claim.sent_tenure is not None and now - claim.sent_at <= RESEND * self.scheduler.report_s:
+        if claim.sent_tenure is not None and now - claim.sent_at <= RESEND * self.tables.report_s:
             return []
         claim.sent_tenure, claim.sent_at = machine.tenure, now
         if tick is None:
@@ -276,7 +273,7 @@
 
     def _settled(self, task: TaskId) -> bool:
         """Whether the task's end is on record, so that the worker may forget it."""
-        job = self.scheduler.jobs.get(task[0])
+        job = self.tables.jobs.get(task[0])
         return job is None or job.final is not None or task[1] not in job.unsettled
 
     def answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -8,13 +8,10 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
 
-if TYPE_CHECKING:
-    from ladderfield.leader.pages import Page
-
 TaskId = tuple[str, int]
 Shape = tuple[str, float, float, float, bool, str | None, tuple[str, ...] | None]
 
@@ -65,7 +62,7 @@
         self.about = about  # the machine's zone, address, type, and whether it is a spot machine
         self.zone: str = about[0]
         self.job, self.index, self.attempt, self.host = job, index, attempt, host
-        self.page: Page | None = None  # the record that holds it
+        self.page: int | None = None  # the number of the page that holds it
         self.recorded = False  # in the state service: only then may the launch go out
         self.inherited = False  # made by an earlier leader, whose order may be out or not
         self.phase: str | None = None  # as last reported
--- a/ladderfield/zones/coordinator.py
+++ b/ladderfield/zones/coordinator.py
@@ -5,10 +5,10 @@
 import logging
 import math
 from collections.abc import Iterable, Mapping
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from ladderfield.jobs.model import JobSpec
-from ladderfield.leader.failure_detector import SILENT
+from ladderfield.leader.tables import SILENT, LeaderTables
 from ladderfield.queues.pick import Tier
 from ladderfield.queues.work import Claim, Job
 from ladderfield.workers.machine import Machine
@@ -21,9 +21,6 @@
 from ladderfield.zones.return_log import ReturnLog
 from ladderfield.zones.waves import PRODUCTION_RANK, Return, may_fetch
 
-if TYPE_CHECKING:
-    from ladderfield.leader.scheduler import Scheduler
-
 log = logging.getLogger(__name__)
 
 PROBATION = 4.0  # of report_s: a zone's first probation
@@ -31,23 +28,23 @@
 
 
 class ZoneCoordinator(ZonePolicy):
-    """Zone health, evacuation and return on the scheduler's tables."""
+    """Zone health, evacuation and return on the leader's tables."""
 
     record: ZoneRecord
 
-    def __init__(self, scheduler: Scheduler, options: ZoneOptions) -> None:
-        settings = scheduler.settings
-        self.scheduler, self.options = scheduler, options
-        probation_s = options.probation_s or min(HOLD_MOST_S, PROBATION * scheduler.report_s)
-        self._timing = Timing(scheduler.lease_s, probation_s)
-        self.record = ZoneRecord(settings.cluster.state.value_kb, scheduler.wall_offset)
+    def __init__(self, tables: LeaderTables, options: ZoneOptions) -> None:
+        settings = tables.settings
+        self.tables, self.options = tables, options
+        probation_s = options.probation_s or min(HOLD_MOST_S, PROBATION * tables.report_s)
+        self._timing = Timing(tables.lease_s, probation_s)
+        self.record = ZoneRecord(settings.cluster.state.value_kb, tables.wall_offset)
         self.healths: dict[str, ZoneHealth] = {}
         self.returns: dict[str, Return] = {}
-        self.return_log = ReturnLog(scheduler.most_kept)
+        self.return_log = ReturnLog(tables.most_kept)
         self._controllers: dict[str, bool] = {}
         self._wanted: set[str] = set()  # zones that a production job may use: elsewhere nobody has to be let in first
         self._reservation = Reservation((), ())
-        self._now = scheduler.term_from
+        self._now = tables.term_from
         self._summary_at = -math.inf
 
     # -- evidence ------------------------------------------------------------------------------------------------
@@ -55,7 +52,7 @@
     def load(self, value: Any, stamp: int, now: float) -> None:
         """Take over what an earlier leader left on record."""
         for zone, entry in self.record.load(value, stamp, now).items():
-            if zone not in self.scheduler.settings.cluster.zones:
+            if zone not in self.tables.settings.cluster.zones:
                 continue
             health = self._health(zone, now)
             health.resume(entry.state, entry.since, entry.failures, entry.failed_at, entry.held_from)
@@ -71,16 +68,16 @@
     def observe(self, counts: Mapping[str, ZoneCounts], now: float) -> None:
         """Judge each zone anew, and open waves."""
         self._now = now
-        busy = self.options.calendar is not None and self.options.calendar.busy(now + self.scheduler.wall_offset)
+        busy = self.options.calendar is not None and self.options.calendar.busy(now + self.tables.wall_offset)
         for zone, count in counts.items():
-            if zone in self.scheduler.settings.cluster.zones:  # a report may name any
+            if zone in self.tables.settings.cluster.zones:  # a report may name any
                 transition = self._health(zone, now).observe(count, now, bool(busy))
                 if transition is not None:
                     self._changed(transition, str(busy or ""))
         self._wanted = self._wanted_zones()
         for zone in list(self.returns):
             self._advance(self.returns[zone], now)
-        if (self.returns or self._troubled()) and now - self._summary_at > SUMMARY_EVERY * self.scheduler.report_s:
+        if (self.returns or self._troubled()) and now - self._summary_at > SUMMARY_EVERY * self.tables.report_s:
             self._log_summary(now)
 
     def delay(self, now: float) -> None:
@@ -94,9 +91,7 @@
         zones = {zone for zone, health in self.healths.items() if zone in self.returns or health.held_from is not None}
         if not zones:
             return zones
-        production = [
-            job.spec.zone for job in self.scheduler.jobs.values() if job.final is None and _is_production(job)
-        ]
+        production = [job.spec.zone for job in self.tables.jobs.values() if job.final is None and _is_production(job)]
         return zones if None in production else zones.intersection(production)
 
     def _health(self, zone: str, now: float) -> ZoneHealth:
@@ -118,7 +113,7 @@
         elif change.after is ZoneState.PROBATION:
             self.returns[zone] = Return(zone, self.options.order_for(zone))
             self.return_log.returns(zone, self._now)
-        self.scheduler.changed = True
+        self.tables.changed = True
         self.record.update(self.healths, self.returns)
 
     def _reach(self, zone: str) -> str:
@@ -130,11 +125,11 @@
         over = not health.holding(now)
         if health.state is ZoneState.HEALTHY or over:
             machines = [] if over else self._machines_in(one.zone)
-            while one.advance(machines, self.scheduler.jobs.values(), self.scheduler.teams, now):
+            while one.advance(machines, self.tables.jobs.values(), self.tables.teams, now):
                 why = "the hold has lasted for long enough" if over else "the one before needs nothing more"
                 if not one.complete:
                     log.info("zone %s: wave %s opens: %s", one.zone, one.order.name(one.wave), why)
-                self.scheduler.changed = True
+                self.tables.changed = True
                 self.record.update(self.healths, self.returns)
         if one.complete and health.state is ZoneState.HEALTHY:
             del self.returns[one.zone]
@@ -144,7 +139,7 @@
             self._log_summary(now)
 
     def _machines_in(self, zone: str) -> list[Machine]:
-        return [machine for machine in self.scheduler.usable(self._now) if machine.zone == zone]
+        return [machine for machine in self.tables.usable(self._now) if machine.zone == zone]
 
     def _log_summary(self, now: float) -> None:
         self._summary_at = now
@@ -169,15 +164,15 @@
 
     def _displaced(self, troubled: set[str], now: float) -> Iterable[Job]:
         """The job of each production task that is bound to a silent machine there, or waits for a place."""
-        for machine in self.scheduler.machines.values():
+        for machine in self.tables.machines.values():
             if machine.zone in troubled and self._silent(machine, now):
                 yield from (claim.job for claim in machine.claims.values() if _is_production(claim.job))
-        for job in self.scheduler.jobs.values():
+        for job in self.tables.jobs.values():
             if job.final is None and _is_production(job):
-                yield from [job] * min(job.queued, self.scheduler.teams.room(job.spec))
+                yield from [job] * min(job.queued, self.tables.teams.room(job.spec))
 
     def _silent(self, machine: Machine, now: float) -> bool:
-        return machine.silent_for(now, self.scheduler.term_from) > SILENT * self.scheduler.report_s
+        return machine.silent_for(now, self.tables.term_from) > SILENT * self.tables.report_s
 
     def order_tiers(self, tiers: list[Tier]) -> list[Tier]:
         """While a zone is evacuated services go first, then priority; within it guarantee and due time as ever."""
