--- a/ladderfield/testing/link_cuts.py
+++ b/ladderfield/testing/link_cuts.py
@@ -19,7 +19,7 @@
 from ladderfield.connectivity.options import ReachOptions
 from ladderfield.http import NoAnswerError
 from ladderfield.testing.cluster import Cluster, cluster
-from ladderfield.testing.history import Fault, Run, Told, faults
+from ladderfield.testing.history import FINAL, Fault, Run, Told, faults
 from ladderfield.testing.network import WORKERS as WORKERS_ALL
 from ladderfield.testing.network import Link
 from ladderfield.testing.samples import SETTINGS, job
@@ -181,6 +181,11 @@
         self.cancelled.add(uid)
         assert await self.insist(uid, "cancel"), f"{uid} can't be cancelled"
 
+    async def ended(self, uid: str) -> bool:
+        """Whether a controller says that a job is over."""
+        told = await self.ask(0, uid, "ask")
+        return told is not None and told.phase in FINAL
+
     async def look(self) -> None:
         """Ask about every job at every controller, for ever."""
         while True:
