--- a/ladderfield/connectivity/test_handover.py
+++ b/ladderfield/connectivity/test_handover.py
@@ -26,11 +26,14 @@
     LATE_START_S,
     LEASE_S,
     REPORT_S,
+    STATE,
     Users,
+    address,
     fail,
     runs,
     without_workers,
 )
+from ladderfield.testing.network import Link
 
 Trouble = Callable[[Cluster, int], Awaitable[None]]
 CUT_S, SETTLE_S = 3 * LEASE_S, 40.0
@@ -148,6 +151,26 @@
         assert wrong(whole, users) == []
 
 
+async def test_who_resigned_lets_others_go_first_and_stands_if_nobody_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its first election is long ago: the vacancy that counts is the one that it made."""
+    async with cluster(monkeypatch, reach_options=BY_REACH) as whole:
+        _, first = await settled(whole, Users(whole))
+        epoch, released = recorded_epoch(whole), trio.Event()
+        others = {Link(address(number), STATE) for number in range(CONTROLLERS) if number != first}
+
+        def keep_others_out() -> None:
+            whole.net.refused.update(others)
+            released.set()
+
+        at_step(monkeypatch, "between release and the next grant", lambda: epoch - 1, keep_others_out)
+        whole.net.silent.update(without_workers(first))
+        await released.wait()
+        await trio.sleep(0.75 * BY_REACH.stand_back_s)
+        assert recorded_epoch(whole) == epoch
+        await trio.sleep(BY_REACH.stand_back_s)
+        assert recorded_epoch(whole) == epoch + 1 and whole.leader() == first, "an office is never vacant for long"
+
+
 async def test_leadership_stays_where_nobody_reaches_more_workers(monkeypatch: pytest.MonkeyPatch) -> None:
     async with cluster(monkeypatch, reach_options=BY_REACH) as whole:
         _, first = await settled(whole, Users(whole))
