--- a/ladderfield/connectivity/exchange.py
+++ b/ladderfield/connectivity/exchange.py
@@ -72,12 +72,8 @@
 
     async def _ask(self, link: PeerLink, body: bytes, timeout: float) -> None:
         reply = await link.ask(REACH, body, timeout)
-        now = trio.current_time()
-        self.reachability.note(
-            Side.PEER_OUT, Exchange.LOST if reply is None else Exchange.ANSWERED, now, link.peer.member
-        )
         if reply is not None and reply.status == 200:
-            self._take(reply.body, now)
+            self._take(reply.body, trio.current_time())
 
     def _take(self, body: bytes, now: float) -> str | None:
         """Take a message in; its sender, or None if it is refused."""
--- a/ladderfield/connectivity/reachability.py
+++ b/ladderfield/connectivity/reachability.py
@@ -33,7 +33,6 @@
     """What authority needs to know of reach."""
 
     condition: Condition = Condition.FULL
-    takes_users: bool = True
     silence_counts_from: float = -math.inf
 
 
@@ -63,7 +62,7 @@
         if link is None:
             link = self.links[side, name] = LinkHistory(self.report_s / 2)
         if link.note(exchange, now):
-            log.info("link %s %s: %s", side.value, name, link.state.value)
+            log.info("link %s: %s", f"{side.value} {name}".rstrip(), link.state.value)
 
     def usable(self, side: Side, name: str = "") -> bool:
         """Whether a link is open, as far as is known."""
@@ -109,10 +108,10 @@
             return Condition.WITHOUT_WORKERS if state else Condition.ISOLATED
         return Condition.FULL if state else Condition.WITHOUT_STATE
 
-    def status(self, peers: Iterable[PeerStatus]) -> ReachStatus:
-        """What authority needs to know."""
+    def status(self) -> ReachStatus:
+        """What a leader's authority needs to know; asked for with every report."""
         counts_from = self.cut_since + self.lease_s if self.cut.inward else -math.inf
-        return ReachStatus(self.condition(), takes_users(self.state_ok, peers), counts_from)
+        return ReachStatus(self.condition(), counts_from)
 
 
 def takes_users(state_ok: bool, peers: Iterable[PeerStatus]) -> bool:
--- a/ladderfield/connectivity/test_authority.py
+++ b/ladderfield/connectivity/test_authority.py
@@ -95,7 +95,7 @@
 
 def test_machines_are_not_given_up_for_a_silence_that_is_our_own() -> None:
     cut = term()
-    cut.reach = lambda: ReachStatus(Condition.WITHOUT_WORKERS, True, 130.0)
+    cut.reach = lambda: ReachStatus(Condition.WITHOUT_WORKERS, 130.0)
     assert not cut.authority().allows(Decision.GIVE_UP_MACHINE, 129.0)
     assert cut.authority().allows(Decision.GIVE_UP_MACHINE, 130.0), "for a bounded time"
     assert term().authority().allows(Decision.GIVE_UP_MACHINE, 0.0)
--- a/ladderfield/connectivity/test_handover.py
+++ b/ladderfield/connectivity/test_handover.py
@@ -218,11 +218,12 @@
         _, first = await settled(whole, Users(whole))
         old = f"n{(first + 1) % CONTROLLERS}"
         asked: list[int] = []
-        for one in whole.controllers.values():
+        for number, one in whole.controllers.items():
+            if f"n{number}" == old:
+                continue  # it would say anew what it understands
             one.rollout._everywhere = REACH_EXCHANGE - 1
             one.view.data[VERSION + old] = ({"level": REACH_EXCHANGE - 1}, 1)
-            if old in one.links:
-                monkeypatch.setattr(one.links[old], "ask", noting(asked, one.links[old].ask))
+            monkeypatch.setattr(one.links[old], "ask", noting(asked, one.links[old].ask))
         whole.net.silent.update(without_workers(first))
         await trio.sleep(CUT_S)
         assert whole.leader() == first and REACH not in asked
--- a/ladderfield/connectivity/test_reachability.py
+++ b/ladderfield/connectivity/test_reachability.py
@@ -130,7 +130,7 @@
     one = reachability()
     one.workers.counted({"a": (10, 0)})
     one.look(5.0, came_back=10)
-    status = one.status([])
+    status = one.status()
     assert (status.condition, status.silence_counts_from) == (Condition.WITHOUT_WORKERS, 5.0 + LEASE_S)
 
 
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -84,7 +84,6 @@
         reach = self.reach()
         return Authority(
             condition=reach.condition,
-            takes_users=reach.takes_users,
             epoch=self.epoch,
             over=self.over.is_set(),
             resigning=self.resigning,
@@ -123,9 +122,11 @@
         client: StateClient,
         view: View,
         reach: Callable[[], ReachStatus] = ReachStatus,
+        takes_users: Callable[[], bool] = lambda: True,
         stand_back_for: Callable[[float], float] = lambda vacant_since: 0.0,
     ) -> None:
-        self.settings, self.client, self.view, self.reach = settings, client, view, reach
+        self.settings, self.client, self.view = settings, client, view
+        self.reach, self.takes_users = reach, takes_users
         self.stand_back_for = stand_back_for  # seconds more, for an office that is vacant since then
         self._vacant_since: float | None = None
         self.ttl = max(0.1, TTL * settings.cluster.workers.report_s)
@@ -157,9 +158,8 @@
     def authority(self) -> Authority:
         """What this controller may decide now, as leader or not."""
         if self.term is not None:
-            return self.term.authority()
-        reach = self.reach()
-        return Authority(condition=reach.condition, takes_users=reach.takes_users)
+            return self.term.authority()._replace(takes_users=self.takes_users())
+        return Authority(condition=self.reach().condition, takes_users=self.takes_users())
 
     def known_leader(self) -> str | None:
         """Who is leader, as far as is known here."""
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -11,9 +11,10 @@
 from ladderfield.cancellation_sync import CancellationSync, MalformedAnswerError, parse_uids
 from ladderfield.connectivity.authority_log import AuthorityLog
 from ladderfield.connectivity.exchange import ReachExchange
+from ladderfield.connectivity.links import Exchange
 from ladderfield.connectivity.options import ReachOptions
 from ladderfield.connectivity.prober import WorkerProber
-from ladderfield.connectivity.reachability import PeerStatus, Reachability, ReachStatus, Side
+from ladderfield.connectivity.reachability import PeerStatus, Reachability, Side, takes_users
 from ladderfield.connectivity.succession import Succession
 from ladderfield.fleet.cloud import Cloud, CloudError
 from ladderfield.http import Reply, Request, Server
@@ -66,7 +67,9 @@
         self.client.observe = lambda side, exchange: self.reachability.note(side, exchange, trio.current_time())
         self.cloud.observe = lambda exchange: self.reachability.note(Side.CLOUD, exchange, trio.current_time())
         self.succession = None if reach_options is None else Succession(reach_options, workers.report_s)
-        self.leadership = Leadership(settings, self.client, self.view, self._reach_status, self._stand_back_for)
+        self.leadership = Leadership(
+            settings, self.client, self.view, self.reachability.status, self._takes_users, self._stand_back_for
+        )
         at_once = max(4, back_most(settings.cluster.quota.max_connections) // max(1, len(settings.peers)))
         self.links = {peer.member: PeerLink(peer, at_once) for peer in settings.peers}
         self.dependencies = DependencyGraph(self.view.get)
@@ -87,8 +90,10 @@
         self.authority_log = AuthorityLog()
         self.cancellation_sync.deliver = lambda uids: self.reports.tell_leader(CancellationsLearned(uids))
 
-    def _reach_status(self) -> ReachStatus:
-        return self.reachability.status(PeerStatus(link.reachable, link.state_ok) for link in self.links.values())
+    def _takes_users(self) -> bool:
+        """Whether users should come here, by the last word of every other controller."""
+        peers = (PeerStatus(link.reachable, link.state_ok) for link in self.links.values())
+        return takes_users(self.reachability.state_ok, peers)
 
     def _stand_back_for(self, vacant_since: float) -> float:
         """How many seconds more to let others be elected first."""
@@ -155,6 +160,8 @@
 
     def _observe_reach(self, now: float) -> None:
         """Judge which links work, and say on the log what follows from it."""
+        for member, link in self.links.items():
+            self.reachability.note(Side.PEER_OUT, Exchange.ANSWERED if link.reachable else Exchange.LOST, now, member)
         self.reachability.look(now, 0 if self.succession is None else self.succession.came_back(now))
         self.authority_log.observe(self.leadership.authority(), now)
 
