Reach messages of large fleets are taken; terms are a module; probes fit the sockets

Need: a leader told of all machines that it knows, idle ones too; other controllers know those with claims on record, and would have refused it as beyond the fleet. The socket test, which counts probes now, found four sockets too many.

Change: messages tell of machines on record; probes take a two-hundredth of the sockets, in shuffled order; the doubled guard is gone; ladderfield/term.py has the term and its grace period; the dispatcher decides whom a tick asks.

--- a/ladderfield/cancellation_sync.py
+++ b/ladderfield/cancellation_sync.py
@@ -28,9 +28,10 @@
 from ladderfield.clocks import CLOCKS
 from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.model import valid_uid
-from ladderfield.leadership import Leadership, Term
+from ladderfield.leadership import Leadership
 from ladderfield.peers import BODY_MOST, CANCELLATION_NOTICE, CANCELLATION_QUERY, PeerLink
 from ladderfield.rollout import CANCELLATION_SYNC, level_of
+from ladderfield.term import Term
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
--- a/ladderfield/connectivity/exchange.py
+++ b/ladderfield/connectivity/exchange.py
@@ -40,11 +40,11 @@
         self._heard_at: dict[str, float] = {}
 
     def message(self, now: float) -> ReachMessage:
-        """Our own reach."""
-        reachability = self.reachability
-        return ReachMessage(
-            self.settings.member, self.leadership.latest()[0], reachability.state_ok, reachability.total(now)
-        )
+        """Our own reach, of the machines that others can know too: a leader knows idle ones as well."""
+        reachability, reach = self.reachability, self.reachability.total(now)
+        known = min(reach.known, reachability.workers.on_record)
+        reach = reach._replace(known=known, heard=min(reach.heard, known))
+        return ReachMessage(self.settings.member, self.leadership.latest()[0], reachability.state_ok, reach)
 
     def answer(self, body: bytes) -> tuple[int, bytes]:
         """The answer to a peer that tells its reach: ours."""
--- a/ladderfield/connectivity/prober.py
+++ b/ladderfield/connectivity/prober.py
@@ -20,7 +20,7 @@
 EVERY = 0.5  # of report_s
 TIMEOUT = 0.5  # of report_s: a worker answers within milliseconds, and some that hang don't make a cut
 PROBES_PER_ZONE = 3  # at a time
-SOCKETS_SHARE = 1 / 100  # of the sockets: probes under way
+SOCKETS_SHARE = 1 / 200  # of the sockets: probes under way
 
 
 class WorkerAddress(NamedTuple):
@@ -73,6 +73,7 @@
         for zone, machines in by_zone.items():
             if self.workers.idle(zone, now, EVERY * self.report_s):
                 due += self._random.sample(machines, min(PROBES_PER_ZONE, len(machines)))
+        self._random.shuffle(due)  # where not all can be asked, no zone is always left out
         return due[: max(0, self.most - self._under_way)]
 
     async def _probe(self, zone: str, endpoint: str) -> None:
--- a/ladderfield/connectivity/test_authority.py
+++ b/ladderfield/connectivity/test_authority.py
@@ -16,7 +16,7 @@
     EpochJudgement,
 )
 from ladderfield.connectivity.reachability import ReachStatus
-from ladderfield.leadership import Term
+from ladderfield.term import Term
 
 TTL, GRACE = 2.0, 17.0
 WITH_LEASE = (Decision.CLAIM, Decision.LAUNCH, Decision.RENT, Decision.DELETE)
--- a/ladderfield/connectivity/test_handover.py
+++ b/ladderfield/connectivity/test_handover.py
@@ -247,3 +247,19 @@
             assert one.reach_exchange.refused == number
         await trio.sleep(REPORT_S)
         assert one.succession is not None and len(one.succession.peers) == CONTROLLERS - 1
+
+
+async def test_a_leader_of_many_idle_machines_tells_of_those_that_others_can_know(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Others know only machines with claims: what a leader counts beyond these would be refused."""
+    async with cluster(monkeypatch, reach_options=BY_REACH) as whole:
+        await settled(whole, Users(whole))
+        one = whole.controllers[whole.leader()]
+        one.reachability.workers.counted({"za": (4000, 3900), "zb": (100, 100)})
+        now = trio.current_time()
+        assert one.reachability.total(now).known == 4100
+        told = one.reach_exchange.message(now)
+        assert told.reach.known == one.reachability.workers.on_record >= REPLICAS
+        other = whole.controllers[(whole.leader() + 1) % CONTROLLERS]
+        assert (await other.handle_back(REACH, 0, told.pack()))[0] == 200 and other.reach_exchange.refused == 0
--- a/ladderfield/connectivity/worker_reach.py
+++ b/ladderfield/connectivity/worker_reach.py
@@ -134,6 +134,11 @@
         """Whether the machines are counted one by one."""
         return self._counts is not None
 
+    @property
+    def on_record(self) -> int:
+        """Machines that hold claims on record, which every controller can count."""
+        return sum(traffic.on_record for traffic in self._zones.values())
+
     def recorded(self, machines: Mapping[str, int]) -> None:
         """How many machines with claims are on record in each zone; zones that have none any more are forgotten."""
         for zone in [zone for zone in self._zones if zone not in machines]:
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -41,11 +41,11 @@
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leader.scheduling_pass import OVERDUE
 from ladderfield.leader.writer import Writer
-from ladderfield.leadership import EPOCH, Term, grace_of
+from ladderfield.leadership import EPOCH
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient
+from ladderfield.term import Term, grace_of
 from ladderfield.view import Change, View
-from ladderfield.workers.machine import Machine
 from ladderfield.workers.orders import Order, ReportAnswer
 from ladderfield.workers.report import Report
 from ladderfield.zones.options import ZoneOptions
@@ -140,8 +140,6 @@
                     self.resignation.nursery = nursery
                 await self.term.over.wait()
                 announce(None)
-                if self.reachability is not None:
-                    self.reachability.workers.counted(None)
                 nursery.cancel_scope.cancel()
         while (message := self._next()) is not None:
             if isinstance(message, ReportReceived):
@@ -224,11 +222,7 @@
         if judgement is EpochJudgement.NOT_LATER:
             return False
         if judgement is EpochJudgement.INVENTED:
-            machine = self.scheduler.machines.get(report.host)
-            if machine is not None and not machine.sick:
-                log.warning("machine %s: shows epoch %d, which nobody gave", report.host, report.epoch)
-                machine.sick = True
-                self.scheduler.queues.withdraw(machine)
+            self.scheduler.distrust(report.host, report.epoch)
         else:
             self.term.end(f"machine {report.host} has seen epoch {report.epoch}")
         return True
@@ -289,11 +283,7 @@
         if not self._may_claim(now):
             self.scheduler.zones.delay(now)
         doomed = self.scheduler.sweep(now)
-        for machine in self.scheduler.machines.values():
-            if machine.claims and machine.epoch == self.term.epoch and self._has_untold_stop(machine):
-                self.dispatcher.request(machine.host)
-            elif machine.up_at is not None and self.dispatcher.doubtful(machine, now):
-                self.dispatcher.request(machine.host)  # to learn whether it hears us, and is only looking for us
+        self.dispatcher.request_due(now)
         self.fleet.manage(doomed, now)
         self._observe_reach(now)
 
@@ -301,18 +291,11 @@
         """Say which machines come straight here, and resign if that is due."""
         if self.reachability is None:
             return
-        # Guards a new leader, to which the machines are still on their way, against calling itself cut off.
-        found = now - self.scheduler.term_from > self.scheduler.detector.way
         counts = {zone: (one.machines, one.straight) for zone, one in self.scheduler.detector.zones.items()}
-        self.reachability.workers.counted(counts if found else {})
+        self.reachability.workers.counted(counts)
         if self.resignation is not None:
             self.resignation.consider(now)
 
-    @staticmethod
-    def _has_untold_stop(machine: Machine) -> bool:
-        """Whether a stop has not been told yet."""
-        return any(claim.stopping is not None and claim.stop_at == -math.inf for claim in machine.claims.values())
-
     async def _feed(self, changes: trio.MemoryReceiveChannel[list[Change]]) -> None:
         async for batch in changes:
             await self.send.send(KeysChanged(batch))
--- a/ladderfield/leader/cloud_tasks.py
+++ b/ladderfield/leader/cloud_tasks.py
@@ -11,9 +11,10 @@
 from ladderfield.fleet.cloud import LIST_MOST, Cloud, CloudError, NoCapacityError
 from ladderfield.jobs.model import FULL, TYPES, parse_types, types_record
 from ladderfield.leader.messages import DeletionAnswered, MachinesListed, Message, RentalAnswered
-from ladderfield.leadership import EPOCH, Term
+from ladderfield.leadership import EPOCH
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, StateServiceError
+from ladderfield.term import Term
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
--- a/ladderfield/leader/dispatcher.py
+++ b/ladderfield/leader/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import trio
 
@@ -11,8 +12,8 @@
 from ladderfield.leader.messages import Message, OrdersAnswered
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leader.scheduling_pass import OVERDUE
-from ladderfield.leadership import Term
 from ladderfield.settings import Settings, address
+from ladderfield.term import Term
 from ladderfield.workers.machine import Machine
 from ladderfield.workers.orders import Order, OrdersRequest
 from ladderfield.workers.report import parse_report
@@ -25,6 +26,11 @@
 PUSH_TIMEOUT = 1.0  # of report_s: how long a push waits for its answer
 
 
+def _has_untold_stop(machine: Machine) -> bool:
+    """Whether a stop has not been told yet."""
+    return any(claim.stopping is not None and claim.stop_at == -math.inf for claim in machine.claims.values())
+
+
 class Dispatcher:
     """Decides which machines get a push now, and makes it."""
 
@@ -63,6 +69,14 @@
             or machine.silent_for(now, self.scheduler.term_from) > OVERDUE * self.report_s
         )
 
+    def request_due(self, now: float) -> None:
+        """Request pushes to machines that have not been told of a stop, or that may not hear us."""
+        for machine in self.scheduler.machines.values():
+            if machine.claims and machine.epoch == self.term.epoch and _has_untold_stop(machine):
+                self.request(machine.host)
+            elif machine.up_at is not None and self.doubtful(machine, now):
+                self.request(machine.host)  # to learn whether it hears us, and is only looking for us
+
     def dispatch(self, now: float) -> None:
         """Begin pushes. Machines that were not heard lately may let theirs wait long; these get only a part."""
         slow = sum(1 for silent in self._under_way.values() if silent)
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -34,7 +34,7 @@
         self.zones: dict[str, ZoneCounts] = {}
         self.cut: set[str] = set()  # zones
         # The longest way round a leader that a worker can't reach: it waits for an answer and tries the next.
-        self.way = LATEST * tables.report_s + ANSWER_S + 2 * NEXT_S
+        self._way = LATEST * tables.report_s + ANSWER_S + 2 * NEXT_S
         self._together = LOST_TOGETHER * tables.lease_s
 
     def observe(self, now: float) -> None:
@@ -48,7 +48,7 @@
             # Guards work against machines that can't reach any controller while our commands reach them: their lease
             # runs out, and with it ends all that would be begun there.
             came_at = machine.up_at if machine.reported_at is None else machine.reported_at
-            machine.cannot_report = came_at is not None and now - came_at > self.way
+            machine.cannot_report = came_at is not None and now - came_at > self._way
             mute += machine.cannot_report
             if machine.heard_at is not None or machine.claims:
                 self._count(known.setdefault(machine.zone, ZoneCounts()), machine, now)
@@ -89,7 +89,7 @@
         if cut or (finding and not alone):
             patience = max(patience, self._together)
         elif finding or machine.relayed:
-            patience = max(patience, self.way)
+            patience = max(patience, self._way)
         if cut and not machine.replicas:
             # Guards against giving a whole zone up for a cut that heals: its tasks begin anew elsewhere once their
             # lease is over, and to wait for the machine costs no more than to boot another.
@@ -100,7 +100,7 @@
             until = min(until, unheard.since)
             if until > term_from:
                 few = alone and not cut and not self._mostly_silent
-                patience = until - term_from + (self.way if few else self._together)
+                patience = until - term_from + (self._way if few else self._together)
         return patience
 
     def away(self, machine: Machine, now: float) -> bool:
--- a/ladderfield/leader/fleet_manager.py
+++ b/ladderfield/leader/fleet_manager.py
@@ -15,7 +15,7 @@
 from ladderfield.leader.dispatcher import Dispatcher
 from ladderfield.leader.messages import DeletionAnswered, MachinesListed, RentalAnswered
 from ladderfield.leader.scheduler import Scheduler
-from ladderfield.leadership import Term
+from ladderfield.term import Term
 
 log = logging.getLogger(__name__)
 
--- a/ladderfield/leader/resignation.py
+++ b/ladderfield/leader/resignation.py
@@ -11,9 +11,10 @@
 from ladderfield.connectivity.resignations import RESIGNATIONS, ResignationHistory
 from ladderfield.connectivity.succession import Succession
 from ladderfield.leader.writer import Writer
-from ladderfield.leadership import EPOCH, Term
+from ladderfield.leadership import EPOCH
 from ladderfield.rollout import Rollout
 from ladderfield.state import StateClient, StateServiceError
+from ladderfield.term import Term
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
--- a/ladderfield/leader/tables.py
+++ b/ladderfield/leader/tables.py
@@ -170,6 +170,14 @@
             machine.sick = True
             self.queues.withdraw(machine)
 
+    def distrust(self, host: str, epoch: int) -> None:
+        """The machine shows an epoch that no leader gave: it has to go."""
+        machine = self.machines.get(host)
+        if machine is not None and not machine.sick:
+            log.warning("machine %s: shows epoch %d, which nobody gave", host, epoch)
+            machine.sick = True
+            self.queues.withdraw(machine)
+
     def recalled(self, machine: Machine, now: float) -> None:
         """The cloud takes the machine back: nothing new for it, and what can't finish in time starts elsewhere."""
         self.queues.withdraw(machine)
--- a/ladderfield/leader/test_scheduler.py
+++ b/ladderfield/leader/test_scheduler.py
@@ -6,7 +6,8 @@
 
 from ladderfield.connectivity.authority import Decision
 from ladderfield.leader.pages import encoded_size
-from ladderfield.leadership import EPOCH, Term
+from ladderfield.leadership import EPOCH
+from ladderfield.term import Term
 from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, inherited, launched, rung
 from ladderfield.workers.report import Report
 
--- a/ladderfield/leader/test_size.py
+++ b/ladderfield/leader/test_size.py
@@ -5,14 +5,16 @@
 import msgspec
 import pytest
 
+from ladderfield.connectivity.prober import WorkerProber
+from ladderfield.connectivity.reachability import Reachability
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.actor import Leader
-from ladderfield.leadership import Term
 from ladderfield.peers import back_most
 from ladderfield.queues.pick import Queues
 from ladderfield.server import USERS_SHARE
 from ladderfield.state import StateClient
+from ladderfield.term import Term
 from ladderfield.testing import settings
 from ladderfield.testing.leader import SchedulerHarness
 from ladderfield.view import View
@@ -82,6 +84,7 @@
     assert machines + 100 <= front, "workers, and users beside them"
     assert back // peers >= 16, "relays"
     outward = leader.dispatcher.most_kept + leader.dispatcher.most_pushes + back // peers * peers
+    outward += WorkerProber(own, View(client, own), Reachability(1.0, 1.0, 1), enabled=True).most
     assert front + back + outward + 2 * KEPT + 2 <= sockets
     assert leader.inbox_size >= machines, "a whole fleet reports at once after a takeover"
 
--- a/ladderfield/leader/test_unheard.py
+++ b/ladderfield/leader/test_unheard.py
@@ -12,9 +12,9 @@
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import OrdersAnswered
 from ladderfield.leader.scheduler import Scheduler
-from ladderfield.leadership import Term
 from ladderfield.queues.work import Claim
 from ladderfield.state import StateClient
+from ladderfield.term import Term
 from ladderfield.testing import accepted, job, settings
 from ladderfield.testing.leader import ABOUT, EPOCH_NOW, SchedulerHarness, inherited, launched, launched_by_push, rung
 from ladderfield.view import View
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -26,7 +26,7 @@
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import CancellationsLearned, ControllersChecked, NoOtherLeader
 from ladderfield.leader.resignation import Resignation
-from ladderfield.leadership import Leadership, Term
+from ladderfield.leadership import Leadership
 from ladderfield.peers import (
     CANCELLATION_NOTICE,
     CANCELLATION_QUERY,
@@ -42,6 +42,7 @@
 from ladderfield.settings import Settings, address
 from ladderfield.state import StateClient, StateServiceError
 from ladderfield.table_sizes import most_entries
+from ladderfield.term import Term
 from ladderfield.view import View
 from ladderfield.workers.report_handler import ReportHandler
 from ladderfield.zones.options import ZoneOptions
@@ -199,6 +200,8 @@
 
     def _announce(self, inbox: trio.MemorySendChannel | None) -> None:
         self.reports.inbox = inbox
+        if inbox is None:
+            self.reachability.workers.counted(None)
 
     async def run_types(self) -> None:
         """Put the machine types on record if nobody has yet: without them no job can be judged."""
--- a/ladderfield/test_grace.py
+++ b/ladderfield/test_grace.py
@@ -16,9 +16,9 @@
 
 from ladderfield.cancellation_sync import ANSWER, QUESTION, Answer, MalformedAnswerError, known_until
 from ladderfield.connectivity.authority import Decision
-from ladderfield.leadership import Term, grace_s
 from ladderfield.peers import CANCELLATION_NOTICE, CANCELLATION_QUERY
 from ladderfield.rollout import CANCELLATION_SYNC, VERSION
+from ladderfield.term import Term, grace_s
 from ladderfield.testing import SETTINGS, settings
 from ladderfield.testing.cluster import Cluster, cluster, refuse, silent_peer
 
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -13,9 +13,10 @@
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import ReportReceived
-from ladderfield.leadership import EPOCH, Leadership, Term
+from ladderfield.leadership import EPOCH, Leadership
 from ladderfield.settings import StateLimits
 from ladderfield.state import Outcome, StateClient
+from ladderfield.term import Term
 from ladderfield.testing import TYPES, accepted, job, settings
 from ladderfield.view import Change, View
 from ladderfield.workers.report import Report, Rung
--- a/ladderfield/test_wire_format.py
+++ b/ladderfield/test_wire_format.py
@@ -23,11 +23,12 @@
 from ladderfield.jobs.model import types_record
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import ReportReceived
-from ladderfield.leadership import EPOCH, LEADER, Leadership, Term
+from ladderfield.leadership import EPOCH, LEADER, Leadership
 from ladderfield.peers import ANSWER, CANCELLATION_NOTICE, CANCELLATION_QUERY, HEALTH, RELAY, SELF, PeerLink, pack
 from ladderfield.rollout import VERSION
 from ladderfield.settings import Peer
 from ladderfield.state import StateClient
+from ladderfield.term import Term
 from ladderfield.testing import REPORT, TYPES, StateService, job, settings
 from ladderfield.testing.jobs_api import serving_jobs_api
 from ladderfield.testing.leader import SchedulerHarness, claimed_leader, launched, rung
--- a/ladderfield/testing/leader.py
+++ b/ladderfield/testing/leader.py
@@ -12,8 +12,9 @@
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.ledger import Ledger
 from ladderfield.leader.scheduler import Scheduler
-from ladderfield.leadership import EPOCH, Term
+from ladderfield.leadership import EPOCH
 from ladderfield.state import StateClient
+from ladderfield.term import Term
 from ladderfield.testing.samples import TYPES, accepted, job, settings
 from ladderfield.view import Change, View
 from ladderfield.workers.machine import Machine
--- a/ladderfield/testing/scripted_fleet.py
+++ b/ladderfield/testing/scripted_fleet.py
@@ -16,9 +16,9 @@
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import ReportReceived
-from ladderfield.leadership import Term
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient
+from ladderfield.term import Term
 from ladderfield.testing.samples import TYPES, accepted, job, settings
 from ladderfield.view import Change, View
 from ladderfield.workers.report import Report
