A message of reach from before a change of leader is told of once, as information

Need: after each change of leader controllers warned of peers that had not seen it yet, which is as it should be. Change: a kind of refusal of its own, logged once as information and counted.

--- a/ladderfield/connectivity/exchange.py
+++ b/ladderfield/connectivity/exchange.py
@@ -8,7 +8,7 @@
 import trio
 
 from ladderfield.connectivity.links import Exchange
-from ladderfield.connectivity.reach_message import ReachMessage, ReachMessageError, check, parse
+from ladderfield.connectivity.reach_message import ReachMessage, ReachMessageError, StaleReachError, check, parse
 from ladderfield.connectivity.reachability import Reachability, Side
 from ladderfield.connectivity.succession import PeerReach, Succession
 from ladderfield.leadership import Leadership
@@ -37,6 +37,7 @@
         self.settings, self.leadership, self.view = settings, leadership, view
         self.reachability, self.links, self.succession = reachability, links, succession
         self.refused = 0  # messages that could not be taken
+        self._logged: set[type[ReachMessageError]] = set()  # kinds of refusals that were told
         self._heard_at: dict[str, float] = {}
 
     def message(self, now: float) -> ReachMessage:
@@ -83,8 +84,10 @@
             check(message, self.links, len(self.settings.cluster.zones), epoch, known)
         except ReachMessageError as error:
             self.refused += 1
-            if self.refused == 1:
-                log.warning("a message of a controller's reach is refused: %s", error)
+            if type(error) not in self._logged:
+                self._logged.add(type(error))
+                level = logging.INFO if isinstance(error, StaleReachError) else logging.WARNING
+                log.log(level, "a message of a controller's reach is refused: %s", error)
             return None
         if self.succession is not None:
             self.succession.heard(message.member, PeerReach(message.reach, message.state_ok, now))
--- a/ladderfield/connectivity/reach_message.py
+++ b/ladderfield/connectivity/reach_message.py
@@ -23,6 +23,10 @@
     """Not what a controller of this cluster says of its reach."""
 
 
+class StaleReachError(ReachMessageError):
+    """Its sender has not seen the last change of leader yet, as happens for a moment after each."""
+
+
 class ReachMessage(NamedTuple):
     """One controller's reach."""
 
@@ -61,7 +65,7 @@
     if message.member not in members:
         raise ReachMessageError(f"unknown controller {message.member!r}")
     if message.epoch < epoch:
-        raise ReachMessageError(f"{message.member}: epoch {message.epoch} is over")
+        raise StaleReachError(f"{message.member}: epoch {message.epoch} is over")
     if message.reach.known > FLEET_FACTOR * known + FLEET_SLACK:
         raise ReachMessageError(f"{message.member}: {message.reach.known} machines are beyond the fleet")
     if message.reach.asked > SAMPLES * max(1, zones):
