Loopback measurement tells resignations, every array's final answer, and pauses; deploy files are checked

Need: the time to a resignation and one final answer for each job were not measured, and a copy of the deploy file could drift.

Change: benchmarks/partial_cuts.py notes resignations on record and asks for every array after the last cut; a test reads the flags of each file under deploy/ and that it differs from service.toml in these only.

--- a/benchmarks/partial_cuts.py
+++ b/benchmarks/partial_cuts.py
@@ -25,6 +25,9 @@
 REPLICAS = 4
 CUT_S, HEALED_S = 1.5 * PACE.lease_s, 1.5 * PACE.lease_s
 LATE_START_S = 2 * PACE.report_s
+ANSWERED_WITHIN_S = 60.0  # once all cuts have healed
+ACCURACY = 0.02  # of a quantile, relatively
+MEASURED = ("the resignation", "the next epoch", "the last start by the old one", "the next start by the next one")
 TOLD = ("authority:", "resigns", "leader is", "no longer leader", "workers:", "link ")
 
 
@@ -32,9 +35,7 @@
     """Seconds from each cut, over all rounds."""
 
     def __init__(self) -> None:
-        self.sketches = {
-            name: DDSketch(0.02) for name in ("the next epoch", "the last start by the old one", "the next start by it")
-        }
+        self.sketches = {name: DDSketch(ACCURACY) for name in MEASURED}
         self.changes = 0
 
     def add(self, whole: LoopbackCluster, begun: float, before: int, until: float) -> None:
@@ -44,11 +45,10 @@
         own = [at for at, epoch in starts if epoch == before]
         following = [at for at, epoch in starts if epoch > before]
         self.changes += bool(later)
-        for name, times in (("the next epoch", later[:1]), ("the next start by it", following[:1])):
-            for at in times:
-                self.sketches[name].add(at - begun)
-        if later and own:
-            self.sketches["the last start by the old one"].add(own[-1] - begun)
+        resigned = [at for at in whole.resignations if begun <= at <= until]
+        for name, times in zip(MEASURED, (resigned, later, own[::-1] if later else [], following), strict=True):
+            if times:
+                self.sketches[name].add(times[0] - begun)
 
     def lines(self) -> list[str]:
         """A line for each."""
@@ -66,29 +66,19 @@
     """Cut one link of whoever is leader again and again; what was wrong, and what was measured."""
     flags = ["--leadership-by-reach"] if by_reach else []
     measurement = Measurement()
-    async with loopback_cluster(folder, flags) as whole, trio.open_nursery() as nursery:
+    async with loopback_cluster(folder, flags) as whole:
         users = Users(whole)
         service = await users.submit(shape="daemon", rungs=REPLICAS, cores=4.0, owner="blue")
         arrays: list[str] = []
-        nursery.start_soon(users.look)
-        nursery.start_soon(keep_submitting, users, arrays)
-        await trio.sleep(HEALED_S)
-        for _ in range(rounds):
-            number, epoch, begun = whole.leader(), whole.epochs[-1][1], trio.current_time()
-            if number is None:
-                await trio.sleep(PACE.lease_s)
-                continue
-            links = cuts(number)[cut]
-            whole.cut(links)
-            await trio.sleep(CUT_S / 2)
-            if pause:
-                await pause_another(whole, number)
-            await trio.sleep(CUT_S / 2)
-            measurement.add(whole, begun, epoch, trio.current_time())
-            whole.mend(links)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(users.look)
+            nursery.start_soon(keep_submitting, users, arrays)
             await trio.sleep(HEALED_S)
-        nursery.cancel_scope.cancel()
-    found = faults(runs(whole.cloud.workers.values()), users.told, PACE.cancel_s, LATE_START_S)
+            for _ in range(rounds):
+                await cut_once(whole, cut, pause, measurement)
+            nursery.cancel_scope.cancel()
+        found = [Fault("not_served", uid) for uid in await unanswered(users, arrays)]
+    found += faults(runs(whole.cloud.workers.values()), users.told, PACE.cancel_s, LATE_START_S)
     found += [Fault("unbacked", text) for text in whole.unbacked_starts()]
     interrupted = sum(name.startswith(service) for one in whole.cloud.workers.values() for _, name, _ in one.log)
     lines = [f"{rounds} cuts of {cut}, {measurement.changes} changes of leader, {len(arrays)} arrays, "
@@ -96,6 +86,34 @@
     return found, lines + measurement.lines()
 
 
+async def cut_once(whole: LoopbackCluster, cut: str, pause: bool, measurement: Measurement) -> None:
+    """Cut the leader's link, and let it heal."""
+    number = whole.leader()
+    while number is None:
+        await trio.sleep(PACE.report_s)
+        number = whole.leader()
+    epoch, begun = whole.epochs[-1][1], trio.current_time()
+    links = cuts(number)[cut]
+    whole.cut(links)
+    await trio.sleep(CUT_S / 2)
+    if pause:
+        await pause_another(whole, number)
+    await trio.sleep(CUT_S / 2)
+    measurement.add(whole, begun, epoch, trio.current_time())
+    whole.mend(links)
+    await trio.sleep(HEALED_S)
+
+
+async def unanswered(users: Users, arrays: list[str]) -> list[str]:
+    """Arrays that have no final answer although all has healed."""
+    left = list(arrays)
+    with trio.move_on_after(ANSWERED_WITHIN_S):
+        while left:
+            left = [uid for uid in left if not await users.ended(uid)]
+            await trio.sleep(PACE.report_s)
+    return left
+
+
 async def keep_submitting(users: Users, arrays: list[str]) -> None:
     """A small array every other report interval, and each eighth is called off."""
     while True:
--- a/ladderfield/test_deploy.py
+++ b/ladderfield/test_deploy.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from ladderfield.cli import main
+
 ROOT = Path(__file__).resolve().parent.parent
 LIBRARIES = ("attr", "attrs", "click", "h11", "httptools", "idna", "msgspec", "outcome", "sniffio", "sortedcontainers")
 LONG_AGO = 1_000_000_000  # older than any installed library, so that the build installs none
@@ -72,3 +74,13 @@
     assert found.stdout.splitlines() == [f"from {checkout}/target/app/ladderfield/server.py"]
     # What the build makes stays below target.
     assert not list((checkout / "ladderfield").rglob("*.pyc"))
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "deploy").glob("*.toml")), ids=lambda path: path.stem)
+def test_every_deploy_file_has_flags_that_the_command_takes_and_differs_in_these_only(path: Path) -> None:
+    deploy, service = (tomllib.loads(one.read_text()) for one in (path, ROOT / "deploy" / "service.toml"))
+    assert (deploy["production"], deploy["build"]) == (service["production"], service["build"])
+    arguments = shlex.split(deploy["run"])
+    flags = arguments[arguments.index("run.py") + 1 :]
+    assert flags[-1] == "--config"
+    main.commands["serve"].make_context("serve", [*flags, str(path)])
--- a/ladderfield/testing/loopback_links.py
+++ b/ladderfield/testing/loopback_links.py
@@ -18,6 +18,7 @@
 import trio
 
 from ladderfield import http
+from ladderfield.connectivity.resignations import RESIGNATIONS
 from ladderfield.http import Client, Server
 from ladderfield.testing.cloud_service import CloudService
 from ladderfield.testing.loopback import ZONES, Addresses, Pace, free_ports, listen, raw_settings
@@ -60,6 +61,7 @@
         self.cloud.capacity = MACHINES_MOST
         self.run_s = 1.0
         self.epochs: list[tuple[float, int]] = []  # when each epoch was on record
+        self.resignations: list[float] = []  # when each was on record
         self.links_file = folder / "links.json"
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self._logs: list[IO[bytes]] = []
@@ -126,10 +128,15 @@
         return None if held is None else int(held[0]["member"][1:])
 
     async def _follow_epochs(self) -> None:
+        last_stamp = 0
         while True:
             epoch = self.state.keys.get("lf/epoch", ({"epoch": 0},))[0]["epoch"]
             if epoch > (self.epochs[-1][1] if self.epochs else 0):
                 self.epochs.append((trio.current_time(), epoch))
+            stamp = self.state.keys.get(RESIGNATIONS, (None, 0))[1]
+            if stamp != last_stamp:
+                last_stamp = stamp
+                self.resignations.append(trio.current_time())
             await self.state.moved.wait()
 
     def _boot(self, host: str, hire: dict[str, Any]) -> Worker:
