Samples of the frame of reach and of the record of resignations

Need: what goes between versions is pinned byte for byte. Change: samples written down by hand from the formats, compared by test_wire_format.py.

--- a/ladderfield/test_wire_format.py
+++ b/ladderfield/test_wire_format.py
@@ -16,6 +16,9 @@
 import trio
 
 from ladderfield.cancellation_sync import CancellationSync
+from ladderfield.connectivity.reach_message import ReachMessage
+from ladderfield.connectivity.resignations import ResignationHistory
+from ladderfield.connectivity.worker_reach import ZoneReach
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.http import Client, Reply, Request, encode
 from ladderfield.jobs.api import JobsApi
@@ -24,7 +27,17 @@
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import ReportReceived
 from ladderfield.leadership import EPOCH, LEADER, Leadership
-from ladderfield.peers import ANSWER, CANCELLATION_NOTICE, CANCELLATION_QUERY, HEALTH, RELAY, SELF, PeerLink, pack
+from ladderfield.peers import (
+    ANSWER,
+    CANCELLATION_NOTICE,
+    CANCELLATION_QUERY,
+    HEALTH,
+    REACH,
+    RELAY,
+    SELF,
+    PeerLink,
+    pack,
+)
 from ladderfield.rollout import VERSION
 from ladderfield.settings import Peer
 from ladderfield.state import StateClient
@@ -240,6 +253,7 @@
     }
     samples = {name: pack(kind, 200, b"body") for name, kind in names.items()}
     samples["self"] = SELF.pack(True, 6) + b"n1"
+    samples["reach"] = pack(REACH, 0, ReachMessage("n1", 6, True, ZoneReach(20, 5, 8, 7)).pack())
     own = settings()
     client = StateClient(own)
     view = View(client, own)
@@ -266,6 +280,13 @@
     assert_recorded("frame", samples)
 
 
+def test_the_record_of_resignations() -> None:
+    history = ResignationHistory(12.0)
+    first = history.next(None, "n0", NOW)
+    samples = {"first": encode(first), "next": encode(history.next(first, "n1", NOW + 30.0))}
+    assert_recorded("resignation", samples)
+
+
 def test_machine_types_whole_and_cut_to_what_is_read() -> None:
     worded = [TYPES[0] | {"note": "n" * 400}]
     samples = {"whole": encode(types_record(worded, 1000)), "cut": encode(types_record(worded, 300))}
