A term that is over renews its lease no more

Cause: when a term ended, its renewal went out once more and kept others out for up to a quarter of a lease longer. Change: the loop ends with the term. Measured: a new test fails without the change and passes with it.

--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -209,6 +209,7 @@
         while not term.over.is_set():
             with trio.move_on_after(self.ttl / 4):
                 await term.over.wait()
+                return  # a lease that is kept alive beyond its term would keep others out
             sent = trio.current_time()
             try:
                 if await self.client.touch(term.hold, self.ttl / 2):
--- a/ladderfield/test_leadership.py
+++ b/ladderfield/test_leadership.py
@@ -43,6 +43,23 @@
     assert (term is not None) is elected
 
 
+async def test_a_term_that_is_over_renews_nothing_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    client = StateClient(settings())
+    leadership, term = Leadership(settings(), client, View(client, settings())), Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0)
+    touched: list[float] = []
+
+    async def touch(*_: Any) -> bool:
+        touched.append(trio.current_time())
+        return True
+
+    monkeypatch.setattr(client, "touch", touch)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leadership._renew, term)
+        await trio.sleep(0.7)
+        term.end("test")
+    assert len(touched) == 1, "at a quarter of the lease"
+
+
 def _report(tick: int, epoch: int = 7) -> Report:
     return Report("m", "10.9.0.1:90", "m4", "za", False, 1, tick, epoch, None, list[Rung]())
 
