A leader tells of no workers that came back from another

Cause: after a leader lost the state service, its successor called itself cut off from workers for a moment. The earlier one, which did not know of it yet, told of all machines that reported to it, and these counted as workers that could not reach the successor.

Change: a leader's message has none. Measured: the tests of handovers passed, with one assertion more.

--- a/ladderfield/connectivity/exchange.py
+++ b/ladderfield/connectivity/exchange.py
@@ -41,10 +41,14 @@
         self._heard_at: dict[str, float] = {}
 
     def message(self, now: float) -> ReachMessage:
-        """Our own reach, of the machines that others can know too: a leader knows idle ones as well."""
+        """Our own reach, of the machines that others can know too: a leader knows idle ones as well.
+
+        What reports to a leader has not come back from one: a leader that another has followed, and that does not know
+        it yet, would make its successor believe that no worker can reach it.
+        """
         reachability, reach = self.reachability, self.reachability.total(now)
         known = min(reach.known, reachability.workers.on_record)
-        reach = reach._replace(known=known, heard=min(reach.heard, known))
+        reach = reach._replace(known=known, heard=0 if reachability.workers.leads else min(reach.heard, known))
         return ReachMessage(self.settings.member, self.leadership.latest()[0], reachability.state_ok, reach)
 
     def answer(self, body: bytes) -> tuple[int, bytes]:
--- a/ladderfield/connectivity/test_handover.py
+++ b/ladderfield/connectivity/test_handover.py
@@ -261,5 +261,6 @@
         assert one.reachability.total(now).known == 4100
         told = one.reach_exchange.message(now)
         assert told.reach.known == one.reachability.workers.on_record >= REPLICAS
+        assert told.reach.heard == 0, "none of them came back from another leader"
         other = whole.controllers[(whole.leader() + 1) % CONTROLLERS]
         assert (await other.handle_back(REACH, 0, told.pack()))[0] == 200 and other.reach_exchange.refused == 0
