Authority is made once a report, from a status that is kept ready

Need: with each report a leader made it twice and looked at its links each time. Change: the links' status changes where they do.

--- a/ladderfield/connectivity/reachability.py
+++ b/ladderfield/connectivity/reachability.py
@@ -56,6 +56,7 @@
         self.cut_since = -math.inf  # when reports or orders were last found to stop
         self._looked_at: float | None = None
         self._judged_from = -math.inf
+        self._status = ReachStatus()
 
     def note(self, side: Side, exchange: Exchange, now: float, name: str = "") -> None:
         """An exchange over one link ended."""
@@ -63,6 +64,7 @@
         if link is None:
             link = self.links[side, name] = LinkHistory(self.report_s / 2)
         if link.note(exchange, now):
+            self._update_status()
             log.info("link %s: %s", f"{side.value} {name}".rstrip(), link.state.value)
 
     def usable(self, side: Side, name: str = "") -> bool:
@@ -81,12 +83,14 @@
             # Guards against calling ourselves cut off for what we were too slow to take in.
             self.workers.forget()
             self.cut, self._judged_from = Directions(), now + self.workers.window_s
+            self._update_status()
         if now < self._judged_from:
             return
         before, zones = self.cut, self.zones(now)
         self.cut = judge(zones, before, came_back) if self.workers.leads else judge_follower(zones, before)
         if self.cut != before:
             self.cut_since = now
+            self._update_status()
             reach = total(zones)
             log.info(
                 "workers: reports %s, orders %s: %d of %d machines report here, %d of %d exchanges with them answered",
@@ -110,9 +114,12 @@
         return Condition.FULL if state else Condition.WITHOUT_STATE
 
     def status(self) -> ReachStatus:
-        """What a leader's authority needs to know; asked for with every report."""
+        """What a leader's authority needs to know; asked for with every report, so it is kept ready."""
+        return self._status
+
+    def _update_status(self) -> None:
         counts_from = self.cut_since + self.lease_s if self.cut.inward else -math.inf
-        return ReachStatus(self.condition(), counts_from)
+        self._status = ReachStatus(self.condition(), counts_from)
 
 
 def takes_users(state_ok: bool, peers: Iterable[PeerStatus]) -> bool:
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from ladderfield.connectivity.authority import Decision, EpochJudgement
+from ladderfield.connectivity.authority import Authority, Decision, EpochJudgement
 from ladderfield.connectivity.authority_log import AuthorityLog
 from ladderfield.connectivity.reachability import Reachability
 from ladderfield.fleet.cloud import Cloud
@@ -198,10 +198,10 @@
 
     def _on_report(self, message: ReportReceived, now: float) -> None:
         report = message.report
-        if self._outranked(report, now):
+        authority = self.term.authority()
+        if self._outranked(report, authority, now):
             message.answer.set(None)
             return
-        authority = self.term.authority()
         if not authority.allows(Decision.KEEP_LEASE_ALIVE, now) or self.scheduler.detector.must_let_lease_end(
             report.host, now
         ):
@@ -215,12 +215,12 @@
             orders = self.scheduler.sessions.orders(machine, now, report.tick, may_launch)
         message.answer.set(ReportAnswer(self.term.epoch, orders))
 
-    def _outranked(self, report: Report, now: float) -> bool:
+    def _outranked(self, report: Report, authority: Authority, now: float) -> bool:
         """Whether the machine has seen a later leader's epoch, so that nothing we say counts there; then we yield.
 
         An epoch that no leader gave harms that machine only, which has to go.
         """
-        judgement = self.term.authority().judge_epoch(report.epoch, now)
+        judgement = authority.judge_epoch(report.epoch, now)
         if judgement is EpochJudgement.NOT_LATER:
             return False
         if judgement is EpochJudgement.INVENTED:
@@ -261,7 +261,7 @@
             if heard and not machine.relayed:
                 self.scheduler.sessions.ignored(machine, 1, now)
             return
-        if self._outranked(message.report, now):
+        if self._outranked(message.report, self.term.authority(), now):
             return
         if message.report.tenure >= machine.tenure:
             self.scheduler.sessions.answered(machine, message.attempts, message.executed)
