--- a/ladderfield/test_deploy.py
+++ b/ladderfield/test_deploy.py
@@ -62,7 +62,8 @@
     """
     deploy = tomllib.loads((checkout / "deploy" / "service.toml").read_text())
     subprocess.run(["sh", "-c", deploy["build"]], cwd=checkout, check=True, timeout=120)
-    interpreter = shlex.split(deploy["run"])[: -len(["run.py", "--config"])]
+    arguments = shlex.split(deploy["run"])
+    interpreter = arguments[: arguments.index("run.py")]
     found = subprocess.run(
         [*interpreter, "-c", FIND_COMPILED_AT_START],
         cwd=checkout,
