--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,18 +5,15 @@
 import itertools
 import os
 import random
-import sys
-from pathlib import Path
-from typing import TextIO
 
 import trio
-from standins.cluster import Cluster, temporary_folder
+from standins.cluster import Cluster, run_case
 from standins.sites import DAFTAR, reconcile
 
 from ladderfield.http import Reply, Request
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LOST_S = float(os.environ.get("LOST_S", "26"))
+LOST_S = float(os.environ.get("LOST_S", "32"))
 SHARE = float(os.environ.get("SHARE", "1"))
 BACK_S = 5.0
 FORGOTTEN_S = 75.0
@@ -101,16 +98,17 @@
         cluster.note(f"network: answers arrive again, {losing.lost} were lost")
     over = trio.current_time()
     answered: dict[str, float] = {}
-    while trio.current_time() < over + FORGOTTEN_S:
-        for name in cluster.names:
-            status, _ = await cluster.poll(FIRST, name)
-            if status in (200, 404):
-                answered.setdefault(name, trio.current_time() - over)
-            if users.accepted:
-                await cluster.poll(users.accepted[-1], name)
-        ready = [name for name in cluster.names if (await cluster.call(name, "GET", "/ready", None, 1.0))[0] == 200]
-        cluster.note(f"load balancer: ready are {ready}")
-        await trio.sleep(5.0)
+    with trio.move_on_at(over + FORGOTTEN_S):
+        while True:
+            for name in cluster.names:
+                status, _ = await cluster.poll(FIRST, name)
+                if status in (200, 404):
+                    answered.setdefault(name, trio.current_time() - over)
+                if users.accepted:
+                    await cluster.poll(users.accepted[-1], name)
+            ready = [name for name in cluster.names if (await cluster.call(name, "GET", "/ready", None, 1.0))[0] == 200]
+            cluster.note(f"load balancer: ready are {ready}")
+            await trio.sleep(4.0)
     for name, after in answered.items():
         cluster.note(f"{FIRST}: first answer of {name} after {after:.1f} s")
     if not answered:
@@ -118,25 +116,5 @@
     return 0 if answered else 1
 
 
-async def main(record: TextIO) -> int:
-    """Run the case."""
-    with temporary_folder() as folder:
-        async with trio.open_nursery() as nursery:
-            cluster = Cluster(nursery, DAFTAR, record, Path(folder), outcome, capacity=20)
-            code = 2
-            try:
-                with trio.move_on_after(118.0):
-                    code = await play(cluster)
-            finally:
-                cluster.stop()
-                if os.environ.get("KEEP_LOGS"):
-                    for path in sorted(Path(folder).glob("*.log")):
-                        Path(os.environ["KEEP_LOGS"], path.name).write_bytes(path.read_bytes())
-            cluster.note(f"exit {code}")
-            nursery.cancel_scope.cancel()
-    return code
-
-
 if __name__ == "__main__":
-    with Path(os.environ.get("RECORD", Path(__file__).parent / "record.txt")).open("w") as out:
-        sys.exit(trio.run(main, out))
+    run_case(__file__, DAFTAR, outcome, 20, play)
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -9,10 +9,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -25,6 +27,8 @@
 from standins.worker import Worker
 
 ROOT = Path(__file__).resolve().parents[2]
+MAX_CASE_S = 118.0
+Outcome = Callable[[str], tuple[float, str]]  # run time and cause of the end of a task
 
 
 def free_ports(count: int) -> list[int]:
@@ -42,7 +46,7 @@
 
 
 class Cluster:
-    """Three controllers, a state service, a cloud and its machines."""
+    """The controllers, a state service, a cloud and its machines."""
 
     def __init__(
         self, nursery: trio.Nursery, site: dict[str, Any], record: TextIO, folder: Path,
@@ -186,6 +190,36 @@
         return status, answer
 
 
-def temporary_folder() -> tempfile.TemporaryDirectory[str]:
-    """A folder for settings and logs."""
-    return tempfile.TemporaryDirectory(prefix="review-")
+Play = Callable[[Cluster], Awaitable[int]]
+
+
+async def _run(case: Path, site: dict[str, Any], outcome: Outcome, capacity: int, play: Play) -> int:
+    """Run a case; the exit code, 2 if it did not come to an end."""
+    code = 2
+    record = Path(os.environ.get("RECORD", case.parent / "record.txt"))
+    with record.open("w") as out, tempfile.TemporaryDirectory(prefix="review-") as folder:
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, site, out, Path(folder), outcome, capacity)
+            try:
+                with trio.move_on_after(MAX_CASE_S):
+                    code = await play(cluster)
+            finally:
+                cluster.stop()
+                if os.environ.get("KEEP_LOGS"):
+                    for path in sorted(Path(folder).glob("*.log")):
+                        Path(os.environ["KEEP_LOGS"], path.name).write_bytes(path.read_bytes())
+            for line in cluster.cloud.log:
+                cluster.note(f"cloud: {line}")
+            cluster.note(f"exit {code}")
+            nursery.cancel_scope.cancel()
+    return code
+
+
+def run_case(case: str, site: dict[str, Any], outcome: Outcome, capacity: int, play: Play) -> None:
+    """Run a case and exit: 1 the rule was broken, 0 it held, 2 it could not run."""
+    try:
+        code = trio.run(_run, Path(case), site, outcome, capacity, play)
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
