Known red: a launch that arrives once more starts its task again after the reap

A direct call to /orders that was carried out and answered arrives a second time after the leader has reaped the attempt; the worker has forgotten it, token and session still match, so the task starts again.

The test delivers every carried-out /orders call again after 0.2 s, 5 s, 60 s and 10 minutes.

--- /dev/null
+++ b/ladderfield/test_repeated_requests.py
@@ -0,0 +1,59 @@
+"""Requests that were carried out and answered, and arrive once more later."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ladderfield.testing import Worker
+from ladderfield.testing.cluster import Cluster, cluster
+
+UID = "req-000002"
+REPEATED_AFTER_S = (0.2, 5.0, 60.0, 600.0)
+
+
+async def _deliver_again(worker: Worker) -> None:
+    """Deliver every executed /orders request again, in both directions of their order."""
+    for body in [*worker.executed_orders, *reversed(worker.executed_orders)]:
+        worker.handle_orders(body)
+    await trio.sleep(0.3)
+
+
+async def _launch_directly(whole: Cluster) -> Worker:
+    """Run a task by a direct order on a machine that a replica keeps; returns the machine's worker."""
+    warm = await whole.submit(uid="req-000001", shape="daemon", rungs=1, loaners=False)
+    worker = await whole.worker_running(warm)
+    await trio.sleep(10)
+    worker.run_s = 30.0
+    await whole.submit(uid=UID, rungs=1, loaners=False)
+    assert await whole.worker_running(UID) is worker
+    assert UID in str(worker.executed_orders), "launched by /orders"
+    return worker
+
+
+async def _end(whole: Cluster, worker: Worker, how: str) -> None:
+    """Let the task on the worker end in one of the ways in which a task ends."""
+    if how == "cancelled":
+        await whole.call(0, "POST", f"/api/jobs/{UID}/cancel")
+    elif how == "failed":
+        worker.failing_jobs = {UID}
+        worker.phase_ends[f"{UID}/0"] = trio.current_time()
+    elif how == "preempted":
+        await whole.submit(uid="req-000003", shape="daemon", rank="production", rungs=1, owner="blue", loaners=False)
+    while UID in str(worker.active_tasks()):
+        await trio.sleep(0.1)
+
+
+@pytest.mark.parametrize("how", ["done", "cancelled", "failed", "preempted"])
+async def test_a_repeated_launch_starts_nothing_however_its_attempt_has_ended(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    async with cluster(monkeypatch) as whole:
+        worker = await _launch_directly(whole)
+        await _end(whole, worker, how)
+        begin, ended = trio.current_time(), {attempt for _, _, attempt in worker.ended}
+        for after_s in REPEATED_AFTER_S:
+            await trio.sleep_until(begin + after_s)
+            await _deliver_again(worker)
+            started_again = [start for start in worker.started if start[0] > begin and start[2] in ended]
+            assert not started_again and worker.session == 1
--- a/ladderfield/testing/worker.py
+++ b/ladderfield/testing/worker.py
@@ -35,6 +35,7 @@
         self.phase_ends: dict[str, float] = {}
         self.started: list[tuple[float, str, int]] = []
         self.ended: list[tuple[float, str, int]] = []  # end of every attempt as (time, task, attempt)
+        self.executed_orders: list[dict[str, Any]] = []  # every /orders request that was carried out
         self.withheld_orders: list[dict[str, Any]] = []  # /orders received while ``withhold_orders`` is set
         self.withhold_orders = False
         self.hung_until = -math.inf  # it does nothing until then, and handles requests received meanwhile afterwards
@@ -128,6 +129,8 @@
                 self.withheld_orders.append(body)
                 await trio.sleep_forever()
             status = 200 if self.handle_orders(body) else 409
+            if status == 200:
+                self.executed_orders.append(body)
             if self.drop_answers:
                 await trio.sleep_forever()
             return Reply(status, self.report())
