A launch that arrives once more starts nothing: an attempt is reaped under a higher token

Callers saw ran_twice: a direct call to /orders that was carried out and answered arrived again after the reap of its attempt. Token and session still matched, the worker had forgotten the attempt and started it again, beside its successor on another machine.

Cause: the answer to a push was taken as proof that no copy of it is left, and a listed launch that was sent once as settled. Both trust that a command is carried out once. Class of bug: an action (the reap) on a right that had not lapsed (the launch's token).

A pushed attempt is reaped only in a message with a token above that of its pushes, so that the worker forgets it and refuses the copies in one step, with no bound in time. A raise writes nothing. With it go the count of launches, the jobs that a machine must not take and the launch that was sent only to be stopped; a task starts again on a machine that stays busy, which was open.

Two tests of the count of launches are replaced: a pushed attempt is reaped only with a higher token, and a preempted task starts again on a busy machine. One that counted answers per push is replaced by its contrary: an answer excludes no copy. Tests that named epochs 1 and 2 name the first and second by next_epoch; in the wire samples only the numbers of epochs and attempts differ.

--- a/ladderfield/campaign.py
+++ b/ladderfield/campaign.py
@@ -16,6 +16,7 @@
 from ladderfield.settings import Settings
 from ladderfield.state import Outcome, StateClient, UnansweredError
 from ladderfield.term import Term
+from ladderfield.tokens import first_token
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
@@ -59,7 +60,7 @@
             # This process was suspended meanwhile. The lease may have expired, and others may have been told that this
             # controller is not leader.
             return None
-        log.info("epoch %d: leader is %s", epoch, self.member)
+        log.info("epoch %d: leader is %s, tokens from %d", epoch, self.member, first_token(epoch))
         return Term(
             epoch,
             revision,
--- a/ladderfield/connectivity/authority.py
+++ b/ladderfield/connectivity/authority.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ladderfield.tokens import TOKENS_PER_EPOCH
+
 NEVER, ALWAYS = -math.inf, math.inf
 MIN_ELECTION_INTERVAL_SHARE = 0.05  # of the leader's lease: no two elections are closer together
 
@@ -120,8 +122,9 @@
         """
         if shown <= self.epoch:
             return EpochJudgement.NOT_LATER
-        elections = max(0.0, now - self.renewed_at - self.ttl) / (self.ttl * MIN_ELECTION_INTERVAL_SHARE) + 1
-        if self.lease_holds(now) or shown > self.epoch + elections:
+        since_lease = max(0.0, now - self.renewed_at - self.ttl)
+        elections = math.floor(since_lease / (self.ttl * MIN_ELECTION_INTERVAL_SHARE)) + 1
+        if self.lease_holds(now) or shown > self.epoch + elections * TOKENS_PER_EPOCH:
             return EpochJudgement.IMPOSSIBLE
         return EpochJudgement.LATER
 
--- a/ladderfield/fleet/capacity.py
+++ b/ladderfield/fleet/capacity.py
@@ -38,7 +38,6 @@
 
     __slots__ = (
         "array_cpus",
-        "blocked_jobs",
         "cpus",
         "gpus",
         "host",
@@ -60,14 +59,13 @@
         self.cpus, self.gpus, self.memory_gb = source.cpus, source.gpus, source.memory_gb
         self.host, self.needed = None, False
         self.images: Collection[str] = ()
-        self.blocked_jobs: Collection[str] = ()  # jobs of which no task can be launched here
         self.preemptible = [0.0, 0.0, 0.0]  # cpus, gpus, memory that a service could take by preemption
         if machine is None:
             assert kind is not None
             self.kind, self.zone, self.spot = kind, zone, spot
         else:
             self.host, self.kind, self.zone, self.spot = machine.host, machine.kind, machine.zone, machine.spot
-            self.images, self.blocked_jobs = machine.cached, machine.blocked_jobs
+            self.images = machine.cached
             self.preemptible = list(machine.preemptible)
         self.array_cpus = self.cpus + self.preemptible[0]
         self.idle = machine is not None and not machine.claims
@@ -119,8 +117,6 @@
 
     def place(self, machine: MachineCapacity, count: int, free_only: bool = False) -> int:
         """Place up to ``count`` tasks on a machine, as far as its zone allows; returns how many were placed."""
-        if self.single_job and self.spec.uid in machine.blocked_jobs:
-            return 0
         placed = machine.place(self.spec, max(0, min(count, self.remaining(machine.zone))), free_only)
         if placed:
             self.zones[machine.zone] = self.zones.get(machine.zone, 0) + placed
@@ -141,7 +137,6 @@
 
     def __init__(self, machines: Iterable[MachineCapacity]) -> None:
         self.machines = list(machines)
-        self._blocked = [machine for machine in self.machines if machine.blocked_jobs]
         self.planned: dict[Offer, int] = {}  # number of machines to rent
         self._services: dict[Shape, list[MachineCapacity]] = {}
         self._arrays: dict[Shape, list[MachineCapacity]] = {}
@@ -177,9 +172,7 @@
         """
         if shape not in self._array_cpus:
             self._array_cpus[shape] = sum(machine.array_cpus for machine in self.machines if machine.allows(spec))
-        return self._array_cpus[shape] - sum(
-            machine.array_cpus for machine in self._blocked if spec.uid in machine.blocked_jobs and machine.allows(spec)
-        )
+        return self._array_cpus[shape]
 
     def may_add(self, offer: Offer) -> bool:
         """Whether the plan may rent one more machine of the offer; the next plan decides about any beyond the limit."""
--- a/ladderfield/fleet/returns.py
+++ b/ladderfield/fleet/returns.py
@@ -91,8 +91,6 @@
     def _max_idle_s(self, machine: Machine, ample: bool) -> float:
         """How long the machine may be idle before it is returned."""
         min_idle_s = MIN_IDLE_REPORT_INTERVALS * self.scheduler.report_s
-        if machine.blocked_jobs:
-            return min_idle_s  # they wait for it although they can't be launched there; a new machine can take them
         replacement_s = machine.kind.boot_s + machine.kind.fetch_s(max(machine.cached.values(), default=0.0))
         return max(
             (AMPLE_MAX_IDLE_FACTOR if ample else MAX_IDLE_FACTOR) * replacement_s,
--- a/ladderfield/leader/dispatcher.py
+++ b/ladderfield/leader/dispatcher.py
@@ -15,7 +15,7 @@
 from ladderfield.settings import Settings, address
 from ladderfield.term import Term
 from ladderfield.workers.machine import Machine
-from ladderfield.workers.orders import Order, OrdersRequest
+from ladderfield.workers.orders import Order, OrdersRequest, log_orders
 from ladderfield.workers.report import parse_report
 
 log = logging.getLogger(__name__)
@@ -72,7 +72,7 @@
     def request_due(self, now: float) -> None:
         """Request pushes to machines with an unsent stop order, and to those that may be unreachable."""
         for machine in self.scheduler.machines.values():
-            if machine.claims and machine.epoch == self.term.epoch and _has_unsent_stop(machine):
+            if machine.claims and self._has_accepted(machine) and _has_unsent_stop(machine):
                 self.request(machine.host)
             elif machine.first_report_at is not None and self.may_be_unreachable(machine, now):
                 self.request(machine.host)  # it may still receive pushes while it searches for the leader
@@ -101,28 +101,35 @@
         if machine.relayed and not unreachable:
             return False  # likely unreachable from here; its orders are sent in the relayed answers
         orders: list[Order] = []
-        if machine.epoch == self.term.epoch:
+        if self._has_accepted(machine):
             may_launch = self.term.authority().allows(Decision.LAUNCH, now)
             orders = self.scheduler.sessions.orders(machine, now, None, may_launch)
-        if not orders and not unreachable and machine.epoch == self.term.epoch:
+        if not orders and not unreachable and self._has_accepted(machine):
             return False
         self._in_flight[machine.host] = unreachable
         # The push names the session that these orders were made for. A later session must refuse them: its start has
         # ended the claim, so the launch would start the task a second time (ran_twice).
-        self.nursery.start_soon(self._push, machine, max(machine.session, 1), orders)
+        body = OrdersRequest(self.scheduler.fencing.token(machine), max(machine.session, 1), orders)
+        log_orders(machine.host, "/orders", body.token, body.session, orders)
+        self.nursery.start_soon(self._push, machine, body)
         return True
 
-    async def _push(self, machine: Machine, target_session: int, orders: list[Order]) -> None:
+    def _has_accepted(self, machine: Machine) -> bool:
+        """Whether the machine has shown a token of this term."""
+        return self.scheduler.fencing.owns(machine.epoch)
+
+    async def _push(self, machine: Machine, body: OrdersRequest) -> None:
         host = machine.host
-        attempts = [order.attempt for order in orders if order.verb == "launch"]
+        attempts = [order.attempt for order in body.orders if order.verb == "launch"]
         executed, report = False, None
         client = self._clients.pop(host, None)
         try:
             client = client or Client(*address(machine.endpoint), max_idle=1)
             self._clients[host] = client
-            body = OrdersRequest(self.term.epoch, target_session, orders)
             status, data = await client.call("POST", "/orders", body, PUSH_TIMEOUT_REPORT_INTERVALS * self.report_s)
             executed = status == 200
+            if status == 409:
+                log.debug("machine %s: push refused (409), token %d, session %d", host, body.token, body.session)
             if status in (200, 409):
                 report = parse_report(data)
         except (NoAnswerError, ValueError) as error:
--- a/ladderfield/leader/failure_detector.py
+++ b/ladderfield/leader/failure_detector.py
@@ -89,7 +89,8 @@
         """The time by which the machine's lease has certainly expired."""
         tables = self.tables
         unheard = tables.authority().verdict(Decision.END_UNACKNOWLEDGED_CLAIM)
-        return machine.lease_over_at(tables.epoch, tables.term_from, unheard.since, tables.lease_s)
+        accepted = tables.fencing.owns(machine.epoch)
+        return machine.lease_over_at(accepted, tables.term_from, unheard.since, tables.lease_s)
 
     def _silence_limit_s(self, machine: Machine, now: float) -> float:
         """How many seconds the machine may be silent before it is lost."""
--- a/ladderfield/leader/fleet_manager.py
+++ b/ladderfield/leader/fleet_manager.py
@@ -88,8 +88,9 @@
             if is_new:
                 machine.created_at = now - entry.rented_s
                 log.info("machine %s: discovered in the cloud's list, %s", entry.host, entry.phase)
-            if machine.endpoint and entry.phase == "running" and machine.epoch != self.term.epoch:
-                self.dispatcher.request(entry.host)  # so that it learns this leader's epoch
+            accepted = self.scheduler.fencing.owns(machine.epoch)
+            if machine.endpoint and entry.phase == "running" and not accepted:
+                self.dispatcher.request(entry.host)  # so that it learns this leader's token
 
     def on_rental_answered(self, message: RentalAnswered, now: float) -> None:
         """Add the machines of a finished rental."""
--- a/ladderfield/leader/machine_orders.py
+++ b/ladderfield/leader/machine_orders.py
@@ -11,6 +11,8 @@
 from ladderfield.workers.orders import Order
 
 RESEND_REPORT_INTERVALS = 2.0  # wait before resending a stop without effect or a launch that isn't listed
+RAISE_INTERVAL_LEASES = 0.5  # how often a worker reports a higher token at once, and how often ends alone raise it
+MAX_KEPT_ATTEMPTS = 64  # ended attempts on a machine that wait for the next raise; they lengthen its reports
 WIND_DOWN_FACTOR = 2.0  # of markCostS: time allowed to save a checkpoint, as machines differ in speed
 
 
@@ -30,9 +32,11 @@
         result: list[Order] = []
         if machine.deleting and not machine.claims:
             return result
+        if answered_sequence is not None or self._sends_no_reports(machine, now):
+            self._raise_token_if_due(machine, now)
         for claim in list(machine.claims.values()):
             if claim.stop_reason is not None:
-                result += self._stop_orders(machine, claim, now, answered_sequence is not None and may_start)
+                result += self._stop_orders(machine, claim, now)
             # Launching an unrecorded claim could start a task unknown to the next leader: the write may be delayed
             # until this term has ended.
             elif claim.recorded and not claim.inherited and may_start:
@@ -40,7 +44,41 @@
         result += self._unclaimed_orders(machine)
         return result
 
-    def _stop_orders(self, machine: Machine, claim: Claim, now: float, may_relaunch: bool) -> list[Order]:
+    def _sends_no_reports(self, machine: Machine, now: float) -> bool:
+        """Whether the machine only answers pushes; otherwise a push must not outdate the answer to its report."""
+        last_at = machine.unsolicited_report_at
+        return last_at is None or now - last_at > RESEND_REPORT_INTERVALS * self.tables.report_s
+
+    def _raise_token_if_due(self, machine: Machine, now: float) -> None:
+        """Raise the machine's token if an attempt can't be reaped, or a claim not end, with the current one."""
+        if not machine.pushed_launches:
+            return
+        fencing, kept = self.tables.fencing, self._kept_attempts(machine)
+        if any(task in machine.claims for task in kept):
+            fencing.raise_token(machine, "a task is to start there again", now)
+        elif any(self._stop_awaits_launch(machine, claim, now) for claim in machine.claims.values()):
+            fencing.raise_token(machine, "the launch of a stopped attempt is not listed", now)
+        elif len(kept) > MAX_KEPT_ATTEMPTS or (
+            kept and now - machine.token_raised_at >= RAISE_INTERVAL_LEASES * self.tables.lease_s
+        ):
+            fencing.raise_token(machine, f"{len(kept)} attempts have ended", now)
+
+    def _kept_attempts(self, machine: Machine) -> list[TaskId]:
+        """Tasks whose ended attempt stays listed only because its launch may arrive once more."""
+        excludes_copies = self.tables.fencing.excludes_copies
+        return [task for task, attempt in self._ended_unclaimed(machine) if not excludes_copies(machine, attempt)]
+
+    def _stop_awaits_launch(self, machine: Machine, claim: Claim, now: float) -> bool:
+        """Whether a stopped claim can't end, because its pushed launch isn't listed and may still be carried out."""
+        listed, _ = machine.reported_tasks.get(claim.task, (None, ""))
+        return (
+            claim.stop_reason is not None
+            and listed is None
+            and now - claim.sent_at > RESEND_REPORT_INTERVALS * self.tables.report_s
+            and not self.tables.fencing.excludes_copies(machine, claim.attempt)
+        )
+
+    def _stop_orders(self, machine: Machine, claim: Claim, now: float) -> list[Order]:
         """Return the orders that stop a claim's attempt, if they are due."""
         attempt, phase = machine.reported_tasks.get(claim.task, (None, ""))
         resend = RESEND_REPORT_INTERVALS * self.tables.report_s
@@ -50,12 +88,6 @@
                 self.note_ignored_message(machine, 1, now)
             claim.stop_sent_at = now
             return [Order.stop(claim.task, claim.attempt, 0.0 if resent else self._wind_down_s(claim))]
-        if self._launch_may_be_lost(machine, claim, attempt) and may_relaunch and now - claim.sent_at > resend:
-            # The launch pushed to /orders was lost or is delayed, and the task would wait forever. An answer to a
-            # report can't be delayed, so launch and stop the attempt with it: the machine then lists the attempt,
-            # which ends the claim, and refuses a late copy of the first launch.
-            claim.sent_at, claim.launches_sent = now, claim.launches_sent + 1
-            return [Order.launch(claim.task, claim.attempt), Order.stop(claim.task, claim.attempt, 0.0)]
         return []
 
     def _launch_orders(self, machine: Machine, claim: Claim, now: float, answered_sequence: int | None) -> list[Order]:
@@ -64,17 +96,14 @@
         if attempt == claim.attempt:
             return []
         if attempt is not None:
-            if attempt in machine.unanswered_launches and claim.sent_session is None:
-                # The old attempt has to stay listed, so that the machine refuses late copies of its launch.
-                self.tables.avoid_machine(claim.job, machine, now)
-                self.tables.end(claim, False, now)
+            return []  # the worker refuses the launch until that attempt is reaped
+        if answered_sequence is None and not self.tables.fencing.may_push_launches(machine):
             return []
         if claim.sent_session is not None and now - claim.sent_at <= RESEND_REPORT_INTERVALS * self.tables.report_s:
             return []
         claim.sent_session, claim.sent_at = machine.session, now
-        claim.launches_sent += 1
         if answered_sequence is None:
-            machine.unanswered_launches[claim.attempt] = machine.unanswered_launches.get(claim.attempt, 0) + 1
+            self.tables.fencing.note_pushed_launch(machine, claim.attempt)
         claim.sent_sequence = machine.sequence if answered_sequence is None else answered_sequence
         return [Order.launch(claim.task, claim.attempt)]
 
@@ -83,19 +112,26 @@
         result: list[Order] = []
         for task, (attempt, phase) in machine.reported_tasks.items():
             current = machine.claims.get(task)
-            if current is not None and current.attempt == attempt:
-                continue
-            if phase != "exited":
+            if phase != "exited" and (current is None or current.attempt != attempt):
                 # No claim allows this attempt to run.
                 result.append(Order.stop(task, attempt, 0.0))
-            elif attempt not in machine.unanswered_launches and self._end_is_recorded(task):
-                result.append(Order.reap(task, attempt))
+        excludes_copies = self.tables.fencing.excludes_copies
+        result += [
+            Order.reap(task, attempt)
+            for task, attempt in self._ended_unclaimed(machine)
+            if excludes_copies(machine, attempt)
+        ]
         return result
 
-    @staticmethod
-    def _launch_may_be_lost(machine: Machine, claim: Claim, listed: int | None) -> bool:
-        """Whether a stop can take no effect because the launch may be lost. A cancelled task is never relaunched."""
-        return listed is None and claim.attempt in machine.unanswered_launches and claim.job.final_phase is None
+    def _ended_unclaimed(self, machine: Machine) -> list[tuple[TaskId, int]]:
+        """Listed tasks and attempts that have ended, without a claim and with their end on record."""
+        return [
+            (task, attempt)
+            for task, (attempt, phase) in machine.reported_tasks.items()
+            if phase == "exited"
+            and ((claim := machine.claims.get(task)) is None or claim.attempt != attempt)
+            and self._end_is_recorded(task)
+        ]
 
     def _wind_down_s(self, claim: Claim) -> float:
         """Seconds that a stopped attempt gets to save a checkpoint."""
--- a/ladderfield/leader/report_intake.py
+++ b/ladderfield/leader/report_intake.py
@@ -9,7 +9,7 @@
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leader.scheduling_pass import OVERDUE_REPORT_INTERVALS
 from ladderfield.term import Term
-from ladderfield.workers.orders import Order, ReportAnswer
+from ladderfield.workers.orders import Order, ReportAnswer, log_orders
 from ladderfield.workers.report import Report
 
 
@@ -39,7 +39,10 @@
             machine.note_route(message.relayed, now)
             may_launch = authority.allows(Decision.LAUNCH, now)
             orders = self.scheduler.sessions.orders(machine, now, report.sequence, may_launch)
-        message.answer.set(ReportAnswer(self.term.epoch, orders))
+        fencing = self.scheduler.fencing
+        token = fencing.first if machine is None else fencing.token(machine)
+        log_orders(report.host, "an answer", token, report.session, orders)
+        message.answer.set(ReportAnswer(token, orders))
 
     def _saw_later_epoch(self, report: Report, authority: Authority, now: float) -> bool:
         """Whether the machine has seen a later leader's epoch and so ignores this leader, whose term then ends.
@@ -47,9 +50,11 @@
         An epoch that no leader has used is a fault of that machine alone: it is marked as faulty.
         """
         judgement = authority.judge_epoch(report.epoch, now)
-        if judgement is EpochJudgement.NOT_LATER:
+        machine = self.scheduler.machines.get(report.host)
+        never_sent = machine is not None and self.scheduler.fencing.was_never_sent(machine, report.epoch)
+        if judgement is EpochJudgement.NOT_LATER and not never_sent:
             return False
-        if judgement is EpochJudgement.IMPOSSIBLE:
+        if judgement is EpochJudgement.IMPOSSIBLE or never_sent:
             self.scheduler.mark_faulty_for_epoch(report.host, report.epoch)
         else:
             self.term.end(f"machine {report.host} has seen epoch {report.epoch}")
@@ -78,5 +83,5 @@
         if message.report.session >= machine.session:
             self.scheduler.sessions.orders_answered(machine, message.attempts, message.executed)
         self.scheduler.sessions.report(message.report, now, answering=False)
-        if not message.executed or machine.epoch != self.term.epoch:
+        if not message.executed or not self.scheduler.fencing.owns(machine.epoch):
             self.dispatcher.request(message.host)
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -49,19 +49,23 @@
             self._record_answer(machine, report, now)
         if order <= (machine.session, machine.sequence) and previously_heard_at is not None:
             return machine  # a later report was processed already, so the tasks listed here are out of date
-        accepted = report.epoch == self.tables.epoch
+        fencing = self.tables.fencing
+        accepted = fencing.owns(report.epoch)
         lease_expired = lease_has_expired(machine, report)
         self._record_heartbeat(machine, accepted, now)
         if lease_expired:
             self.tables.zones.on_machine_restarted(machine)
         if report.session > machine.session:
-            machine.unanswered_launches.clear()  # the worker refuses orders of earlier sessions from now on
+            machine.pushed_launches.clear()  # the worker refuses orders of earlier sessions from now on
             recently = previously_heard_at is not None and now - previously_heard_at < self.tables.lease_s / 2
             if recently and previously_answered is not None:
                 # It was heard and answered throughout, and yet its lease has expired.
                 self.note_ignored_message(machine, MIN_IGNORED_MESSAGES, now)
         elif previously_answered is not None and previously_answered < order and not accepted:
             self.note_ignored_message(machine, 1, now)  # it was answered, but has not accepted this leader's epoch
+        if accepted and report.epoch > machine.epoch:
+            machine.confirm_reachable()  # it has received a message with the higher token
+            fencing.on_token_shown(machine, report.epoch)
         machine.session, machine.sequence, machine.epoch = report.session, report.sequence, report.epoch
         machine.endpoint = report.endpoint
         self._check_machine(machine, report, now)
@@ -73,7 +77,7 @@
         tables, order = self.tables, (report.session, report.sequence)
         machine.answered_at = now
         newest = machine.answered is None or order > machine.answered  # false for a delayed duplicate
-        if report.epoch == tables.epoch and newest:
+        if tables.fencing.owns(report.epoch) and newest:
             machine.unsolicited_report_at = now
             if machine.cannot_report:
                 machine.cannot_report, tables.changed = False, True
@@ -123,27 +127,10 @@
                 launch_lost = launch_lost or (sent == report.session and claim.sent_session is None)
         if launch_lost:
             self.note_ignored_message(machine, 1, now)
-        self._update_blocked_jobs(machine)
         if machine.unreachable_since is not None:
             for claim in [claim for claim in machine.claims.values() if tables.unsent(claim, machine)]:
                 tables.end(claim, False, now)
 
-    def _update_blocked_jobs(self, machine: Machine) -> None:
-        """Note the unfinished jobs whose ended attempts have to stay listed.
-
-        As long as an attempt is listed, the machine refuses another one of the same task.
-        """
-        blocked = set[str]()
-        if machine.unanswered_launches:
-            for (uid, index), (attempt, phase) in machine.reported_tasks.items():
-                job = self.tables.jobs.get(uid)
-                if phase != "exited" or attempt not in machine.unanswered_launches or job is None:
-                    continue
-                if job.final_phase is None and index not in job.finished:
-                    blocked.add(uid)
-        if blocked != machine.blocked_jobs:
-            machine.blocked_jobs, self.tables.changed = blocked, True
-
     def note_ignored_message(self, machine: Machine, count: int, now: float) -> None:
         """Note that an answer or order to the machine had no effect.
 
@@ -168,11 +155,11 @@
                 return True
             # The machine refused the launch, so a claim that is being stopped can end now. But the report in the answer
             # to an /orders call may predate orders that the machine has since got in answer to its own report.
-            return claim.stop_reason is not None and answering and claim.attempt not in machine.unanswered_launches
+            return claim.stop_reason is not None and answering and claim.attempt not in machine.pushed_launches
         if claim.sent_session != report.session:
             return True  # that session is over, and the worker refuses its orders
-        if claim.attempt in machine.unanswered_launches or not answering or report.sequence <= claim.sent_sequence:
-            return False  # a copy of the launch may still arrive
+        if claim.attempt in machine.pushed_launches or not answering or report.sequence <= claim.sent_sequence:
+            return False  # a copy of the launch may still be carried out
         # The launch was sent in the answer to an earlier report. The worker has one report in flight at a time and
         # drops late answers, so that answer is lost, and only a new launch can start this attempt.
         claim.sent_session = None
@@ -187,8 +174,6 @@
         ):
             machine.confirm_reachable()  # a launch or a stop has taken effect
         claim.sent_session = machine.session
-        if claim.launches_sent == 1:
-            machine.unanswered_launches.pop(claim.attempt, None)  # the only copy of the launch has arrived
         inherited, claim.inherited = claim.inherited, False
         if task_report.phase != "exited":
             if task_report.phase == "running" and claim.phase != "running":
@@ -229,18 +214,15 @@
         return self._machine_orders.due(machine, now, answered_sequence, may_start)
 
     def orders_answered(self, machine: Machine, attempts: Iterable[int], executed: bool) -> None:
-        """Handle the answer to an /orders call, which shows that no copy of it is in flight any more."""
+        """Handle the answer to an /orders call; a refused one is refused however often and late it arrives."""
         if executed:
             machine.confirm_reachable()
+            return
         for attempt in attempts:
-            remaining = machine.unanswered_launches.pop(attempt, 0) - 1
-            if remaining > 0:
-                machine.unanswered_launches[attempt] = remaining
-        if not executed:
-            for claim in machine.claims.values():
-                if claim.attempt in attempts:
-                    claim.sent_session = None
-                    claim.launches_sent -= 1  # that copy can't arrive any more
+            machine.pushed_launches.pop(attempt, None)
+        for claim in machine.claims.values():
+            if claim.attempt in attempts:
+                claim.sent_session = None
 
 
 def lease_has_expired(machine: Machine, report: Report) -> bool:
--- a/ladderfield/leader/tables.py
+++ b/ladderfield/leader/tables.py
@@ -14,6 +14,7 @@
 from ladderfield.connectivity.earlier_leaders import EarlierLeaders
 from ladderfield.jobs.model import MachineType
 from ladderfield.leader.estimates import Estimates
+from ladderfield.leader.fencing import Fencing
 from ladderfield.leader.pages import Pages
 from ladderfield.queues.pick import Queues
 from ladderfield.queues.work import Claim, Job, Record, task_name
@@ -66,6 +67,7 @@
         self.clearable_records: dict[Record, None] = {}
         self.changed = True  # since the last pass, in a way that may let a task start
         self._attempts = 0
+        self.fencing = Fencing(epoch)
         self.estimates = Estimates(settings, self.wall_offset)
         self.earlier = EarlierLeaders.from_record(now + grace_s, earlier_terms or {}, settings.peers, self.wall_offset)
         self.authority: Callable[[], Authority] = self._default_authority
@@ -133,7 +135,7 @@
     @staticmethod
     def unsent(claim: Claim, machine: Machine) -> bool:
         """Whether no launch of the claim is outstanding anywhere, so that the claim can end at once."""
-        return claim.sent_session is None and not claim.inherited and claim.attempt not in machine.unanswered_launches
+        return claim.sent_session is None and not claim.inherited and claim.attempt not in machine.pushed_launches
 
     def check_job_end(self, job: Job) -> None:
         """Note a job that has become complete, and remove a finished or cancelled one that has left all machines."""
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -19,6 +19,7 @@
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, StateServiceError
 from ladderfield.term import Term, grace_of, grace_s
+from ladderfield.tokens import next_epoch
 from ladderfield.view import View
 from ladderfield.workers.report import EPOCH_LIMIT
 
@@ -162,7 +163,7 @@
             log.info("epoch %d: could not release the lease: %s", term.epoch, error)
 
     async def _campaign(self) -> Term | None:
-        return await self._candidate.campaign(self.known_epoch() + 1, self._earlier_leaders)
+        return await self._candidate.campaign(next_epoch(self.known_epoch()), self._earlier_leaders)
 
     async def _serve(self, term: Term, terms: trio.MemorySendChannel[Term]) -> None:
         self.term = term
--- a/ladderfield/queues/pick.py
+++ b/ladderfield/queues/pick.py
@@ -32,8 +32,8 @@
 
 
 def placeable(job: Job, machine: Machine) -> bool:
-    """Whether a task of the job may be launched on the machine, given the job's claims and earlier attempts there."""
-    return machine.allows(job.spec) and zone_allowed(job, machine) and job.uid not in machine.blocked_jobs
+    """Whether a task of the job may be launched on the machine, given the job's other claims."""
+    return machine.allows(job.spec) and zone_allowed(job, machine)
 
 
 def locality(job: Job, machine: Machine) -> int:
@@ -198,8 +198,6 @@
                 for job in jobs:
                     if self.first_task_only and job.has_started:
                         continue
-                    if job.uid in machine.blocked_jobs:
-                        continue
                     if job.queued and may_start(job) and zone_allowed(job, machine):
                         found.add(job)
         return found
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -46,7 +46,6 @@
         "index",
         "inherited",
         "job",
-        "launches_sent",
         "page",
         "phase",
         "recorded",
@@ -70,7 +69,6 @@
         self.phase: str | None = None  # as last reported
         self.running_at: float | None = None
         self.sent_session: int | None = None  # session of the worker that the launch was last sent to
-        self.launches_sent = 0  # how often the launch was sent, in whatever way
         self.sent_at = 0.0
         self.sent_sequence = 0  # sequence number of the report whose answer carried the launch
         self.stop_reason: str | None = None  # why the attempt is being stopped; None while it is not
--- a/ladderfield/testing/leader.py
+++ b/ladderfield/testing/leader.py
@@ -17,12 +17,14 @@
 from ladderfield.state import StateClient
 from ladderfield.term import Term
 from ladderfield.testing.samples import TYPES, accepted, job, settings
+from ladderfield.tokens import first_token, next_epoch
 from ladderfield.view import View
 from ladderfield.workers.machine import Machine
 from ladderfield.workers.orders import Order
 from ladderfield.workers.report import Report
 
-EPOCH_NOW = 7
+EPOCH_NOW = next_epoch(6)
+TOKEN_NOW = first_token(EPOCH_NOW)  # the first token of the term
 MACHINE_RECORD = [
     "za",
     "10.9.0.1:90",
@@ -67,7 +69,7 @@
         tasks: tuple[dict[str, Any], ...] = (),
         now: float = 1.0,
         session: int = 1,
-        epoch: int = EPOCH_NOW,
+        epoch: int = TOKEN_NOW,
         **fields: Any,
     ) -> list[dict[str, Any]]:
         """Send a machine's report and run the scheduler; returns the orders in the answer."""
@@ -133,13 +135,13 @@
 
 
 def leader_with_claim() -> Leader:
-    """A leader of epoch 7 with one recorded claim, not launched yet, on machine m."""
+    """A leader of epoch ``EPOCH_NOW`` with one recorded claim, not launched yet, on machine m."""
     client = StateClient(settings())
-    term = Term(7, 3, 1, 0.0, 2.0, 17.0, 0.0)
+    term = Term(EPOCH_NOW, 3, 1, 0.0, 2.0, 17.0, 0.0)
     leader = Leader(
         settings(), term, client, View(client, settings()), Cloud(settings()), DependencyGraph(lambda key: None)
     )
-    leader.scheduler.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": 7}, 3)}, 0.0)
+    leader.scheduler.load({"lf/types": (TYPES, 1), EPOCH: ({"epoch": EPOCH_NOW}, 3)}, 0.0)
     leader.scheduler.take_changes([Change("lf/j/req-000001", accepted(job(rungs=1)), 5)], 0.0)
     leader.scheduler.sessions.report(session_report(1, 1), 0.1, answering=True)
     leader.scheduler.schedule(0.1)
@@ -150,5 +152,5 @@
 
 
 def session_report(session: int, sequence: int) -> Report:
-    """An empty report of machine m, with the epoch of ``leader_with_claim``."""
-    return Report("m", "10.9.0.1:90", "m4", "za", False, session, sequence, 7, None, [])
+    """An empty report of machine m, with the first token of ``leader_with_claim``."""
+    return Report("m", "10.9.0.1:90", "m4", "za", False, session, sequence, TOKEN_NOW, None, [])
--- a/ladderfield/testing/scripted_fleet.py
+++ b/ladderfield/testing/scripted_fleet.py
@@ -157,7 +157,7 @@
         for worker, message in messages:
             answer = message.answer.value
             assert answer is not None, f"the report of {worker.host} was refused"
-            worker.epoch, worker.answered_at = answer.epoch, self.now
+            worker.epoch, worker.answered_at = answer.token, self.now
             for order in sorted(answer.orders, key=lambda order: VERB_ORDER.index(order.verb)):
                 image = self.specs[order.task.split("/")[0]]["bundle"]
                 worker.execute_order(order.verb, order.task, order.attempt, image, self.now)
--- a/ladderfield/workers/machine.py
+++ b/ladderfield/workers/machine.py
@@ -20,7 +20,6 @@
     __slots__ = (
         "answered",
         "answered_at",
-        "blocked_jobs",
         "cached",
         "cannot_report",
         "claims",
@@ -44,6 +43,7 @@
         "low_rank_replicas",
         "memory_gb",
         "preemptible",
+        "pushed_launches",
         "queue",
         "relayed",
         "relayed_since",
@@ -54,7 +54,8 @@
         "sequence",
         "session",
         "spot",
-        "unanswered_launches",
+        "token",
+        "token_raised_at",
         "unreachable_signs",
         "unreachable_since",
         "unsolicited_report_at",
@@ -81,10 +82,10 @@
         self.interruption_at: float | None = None  # after a spot interruption notice
         self.claims: dict[TaskId, Claim] = {}
         self.reported_tasks: dict[TaskId, tuple[int, str]] = {}  # attempt and phase, from the last report
-        # attempt -> number of launches pushed to /orders in this session without an answer
-        self.unanswered_launches: dict[int, int] = {}
-        # Unfinished jobs with an ended attempt that has to stay listed, as a copy of its launch may still arrive.
-        self.blocked_jobs: set[str] = set()
+        self.token = 0  # the highest sent to it in this term
+        self.token_raised_at = -math.inf
+        # attempt -> token of its latest launch pushed to /orders in this session, while copies of it may be carried out
+        self.pushed_launches: dict[int, int] = {}
         self.queue: dict[Job, deque[int]] = {}
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb  # free
         self.preemptible = [0.0, 0.0, 0.0]  # cpus, gpus, memory used by array tasks below production rank
@@ -195,14 +196,14 @@
         """Note that the machine has received something that this leader sent."""
         self.unreachable_signs, self.unreachable_since = 0, None
 
-    def lease_over_at(self, epoch: int, term_from: float, others_until: float, lease_s: float) -> float:
+    def lease_over_at(self, accepted: bool, term_from: float, others_until: float, lease_s: float) -> float:
         """The time after which its lease is certain to have expired.
 
         The lease runs from the last answer, or from the start of the session, which is before the last report. Until
-        the machine has accepted ``epoch``, an earlier leader may be answering it too, until ``others_until``.
+        the machine has ``accepted`` this leader, an earlier one may be answering it too, until ``others_until``.
         """
         last = max(term_from, self.answered_at or term_from, self.last_report_at or term_from)
-        if self.epoch != epoch:
+        if not accepted:
             last = max(last, others_until)
         return last + lease_s * CLOCK_DRIFT_FACTOR
 
--- a/ladderfield/workers/orders.py
+++ b/ladderfield/workers/orders.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Literal
 
 import msgspec
 
 from ladderfield.queues.work import TaskId, task_name
 
+log = logging.getLogger(__name__)
+
 
 class Order(msgspec.Struct, frozen=True, omit_defaults=True):
     """An order to launch, stop or reap one attempt."""
@@ -36,13 +39,23 @@
 class ReportAnswer(msgspec.Struct, frozen=True):
     """The leader's answer to a report."""
 
-    epoch: int
+    token: int = msgspec.field(name="epoch")
     orders: list[Order]
 
 
 class OrdersRequest(msgspec.Struct, frozen=True):
     """The body of a push; ``session`` is the worker's session that its orders are for."""
 
-    epoch: int
+    token: int = msgspec.field(name="epoch")
     session: int = msgspec.field(name="tenure")
     orders: list[Order]
+
+
+def log_orders(host: str, way: str, token: int, session: int, orders: list[Order]) -> None:
+    """Log each order sent to a machine, in which way, and for which token and session."""
+    if log.isEnabledFor(logging.DEBUG):
+        for order in orders:
+            log.debug(
+                "machine %s: %s %s attempt %d by %s, token %d, session %d",
+                host, order.verb, order.task, order.attempt, way, token, session,
+            )  # fmt: skip
--- a/ladderfield/workers/report_handler.py
+++ b/ladderfield/workers/report_handler.py
@@ -19,6 +19,7 @@
 from ladderfield.peers import RELAY, PeerAnswer, PeerLink
 from ladderfield.settings import Settings
 from ladderfield.table_sizes import max_table_entries
+from ladderfield.tokens import first_token
 from ladderfield.workers.report import ANSWER_TIMEOUT_S, Report, parse_report
 
 log = logging.getLogger(__name__)
@@ -104,7 +105,7 @@
         gets through (0.0 does not extend the time).
 
         The worker is taken to be unable to reach the leader if it reports here again soon after a redirect, or if this
-        controller can't reach the leader either. It is suspected to be if it shows the leader's epoch already, so that
+        controller can't reach the leader either. It is suspected to be if it shows the leader's token already, so that
         it has been in contact with the leader and left. A redirect would cost such a worker another timeout, and two of
         them take longer than a silent machine is given.
         """
@@ -117,7 +118,8 @@
             return RELAY_LEASES * self.lease_s
         # Redirected when a period of relaying has just ended, to find out whether it reaches the leader now.
         relayed_recently = now - self._relayed_until.get(host, -math.inf) < self.lease_s
-        if report.epoch == self.leadership.known_epoch() and not relayed_recently:
+        epoch = self.leadership.known_epoch()
+        if first_token(epoch) <= report.epoch <= epoch and not relayed_recently:
             return SUSPECT_LEASES * self.lease_s
         self._remember(self._redirected_at, host, now)
         return None
