A repeated report gets no orders: they would count as sent, but reach nobody

Callers saw a stopped task go on for two more report intervals, and then end without a checkpoint.

Cause: a copy of a machine's newest report passed the check for stale reports, as that lets equal ones through, and was answered with the orders due. Nobody waits for that answer, but a stop in it counted as sent: it was repeated only two intervals later, then without time to save, and counted as a sign that the machine does not hear us. The orders now go only to a report that is newer than all before.

test_a_repeated_report_takes_no_orders_away_from_the_machine failed before: the copy was answered with the stop.

--- a/ladderfield/leader/report_intake.py
+++ b/ladderfield/leader/report_intake.py
@@ -33,9 +33,10 @@
         ):
             message.answer.set(None)
             return
+        is_newest = self._is_newest(report)
         machine = self.scheduler.sessions.report(report, now, answering=True)
         orders: list[Order] = []
-        if machine is not None and (report.session, report.sequence) == (machine.session, machine.sequence):
+        if machine is not None and is_newest:
             machine.note_route(message.relayed, now)
             may_launch = authority.allows(Decision.LAUNCH, now)
             orders = self.scheduler.sessions.orders(machine, now, report.sequence, may_launch)
@@ -44,6 +45,11 @@
         log_orders(report.host, "an answer", token, report.session, orders)
         message.answer.set(ReportAnswer(token, orders))
 
+    def _is_newest(self, report: Report) -> bool:
+        """Whether the report is newer than all before; the answer to any other reaches nobody."""
+        machine = self.scheduler.machines.get(report.host)
+        return machine is None or (report.session, report.sequence) > (machine.session, machine.sequence)
+
     def _saw_later_epoch(self, report: Report, authority: Authority, now: float) -> bool:
         """Whether the machine has seen a later leader's epoch and so ignores this leader, whose term then ends.
 
--- a/ladderfield/leader/test_orders.py
+++ b/ladderfield/leader/test_orders.py
@@ -11,7 +11,10 @@
 
 from ladderfield.fleet.capacity import Offer, Rental
 from ladderfield.http import Client, NoAnswerError
+from ladderfield.leader.messages import ReportReceived
+from ladderfield.queues.work import task_name
 from ladderfield.testing.leader import leader_with_claim, session_report
+from ladderfield.workers.report import Report, TaskReport
 
 
 async def test_a_push_names_the_session_that_its_orders_were_made_for_even_if_it_has_ended(
@@ -103,3 +106,24 @@
         leader.fleet.manage(["m"], leader.term.renewed_at)
         await trio.sleep(0.1)
     assert actions == ["planned", "m"]
+
+
+async def test_a_repeated_report_takes_no_orders_away_from_the_machine() -> None:
+    """Guards against a stop that counts as sent with an answer that reaches nobody."""
+    leader = leader_with_claim()
+    scheduler = leader.scheduler
+
+    def verbs_answering(report: Report, now: float) -> list[str]:
+        message = ReportReceived(report, False)
+        leader.intake.on_report(message, now)
+        assert message.answer.value is not None
+        return [order.verb for order in message.answer.value.orders]
+
+    assert verbs_answering(session_report(1, 2), 0.2) == ["launch"]
+    (claim,) = scheduler.machines["m"].claims.values()
+    running = TaskReport(task_name(claim.task), claim.attempt, "running")
+    report = msgspec.structs.replace(session_report(1, 3), task_reports=[running])
+    assert verbs_answering(report, 0.3) == []
+    scheduler.stop(claim, "preempted", 0.4)
+    assert verbs_answering(report, 0.5) == [], "a copy, whose answer nobody waits for"
+    assert verbs_answering(msgspec.structs.replace(report, sequence=4), 0.6) == ["stop"]
