--- a/ladderfield/test_repeated_requests.py
+++ b/ladderfield/test_repeated_requests.py
@@ -7,6 +7,7 @@
 
 from ladderfield.testing import Worker
 from ladderfield.testing.cluster import Cluster, cluster
+from ladderfield.testing.repeat_soak import run_repeat_soak
 
 UID = "req-000002"
 REPEATED_AFTER_S = (0.2, 5.0, 60.0, 600.0)
@@ -57,3 +58,11 @@
             await _deliver_again(worker)
             started_again = [start for start in worker.started if start[0] > begin and start[2] in ended]
             assert not started_again and worker.session == 1
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+async def test_no_rule_is_broken_while_requests_of_every_kind_are_repeated(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    repeated = await run_repeat_soak(monkeypatch, seed)
+    assert repeated > 100
--- a/ladderfield/testing/cluster.py
+++ b/ladderfield/testing/cluster.py
@@ -1,11 +1,12 @@
 """A complete in-memory cluster for the tests, with switches for failures.
 
-It has three controllers and a scripted state service, cloud and workers. Two invariants are checked throughout: no task
-runs on two machines, and team red stays within its limit.
+It has three controllers and a scripted state service, cloud and workers. Three invariants are checked throughout and at
+each start: no task runs on two machines, team red stays within its limit, and cancelled tasks end in time.
 """
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -18,10 +19,10 @@
 from trio.lowlevel import in_trio_run
 
 from ladderfield.connectivity.options import ReachOptions
-from ladderfield.http import Client, NoAnswerError, Server
+from ladderfield.http import Client, NoAnswerError
 from ladderfield.peers import BackServer, PeerLink
 from ladderfield.server import Controller
-from ladderfield.testing import CloudService, Network, StateService, Worker, job, settings
+from ladderfield.testing import SETTINGS, CloudService, Network, StateService, Worker, job, settings
 from ladderfield.testing.network import origin
 from ladderfield.zones.options import ZoneOptions
 
@@ -45,6 +46,8 @@
         self.net.http("10.2.0.2:84", self.cloud)
         self.jobs: dict[str, dict[str, Any]] = {}
         self.red_cpu_limit = 16.0
+        self.cancelled_at: dict[str, float] = {}  # when a user was told that a job is cancelled
+        self.violations: list[str] = []
         self.cut_zones: set[str] = set()  # machines that boot in these zones are unreachable
         self.run_s = 5.0  # run time of a task on machines that boot from now on
         nursery.start_soon(self.state.run)
@@ -56,6 +59,7 @@
         worker = Worker(host, address, self.net, nodes, yard=request["yard"], loaners=request["loaners"])
         worker.run_s = self.run_s
         worker.is_service = lambda uid: self.jobs[uid]["shape"] == "daemon"
+        worker.on_start = self._check_running
         if request["yard"] in self.cut_zones:
             self.net.cut.add(address)
         self.net.http(f"{address}:90", worker)
@@ -72,7 +76,7 @@
         with trio.CancelScope() as scope:
             self.cancel_scopes[number] = scope
             controller = self.controllers[number] = Controller(own, self.zone_options, self.reach_options)
-            self.net.listen(own.bind, Server(controller.handle, 500, 5.0, 60.0))
+            self.net.http(own.bind, controller.handle, max_connections=500)
             self.net.listen(own.back, BackServer(controller.handle_back, 20, 60.0, 5.0))
             await controller.run()
 
@@ -94,7 +98,10 @@
         """Send a user's request to a controller."""
         client = Client(f"10.0.0.{node + 1}", 80, max_idle=0)
         status, data = await client.call(method, path, body, 5.0)
-        return status, msgspec.json.decode(data)
+        answer = msgspec.json.decode(data)
+        if status == 200 and answer.get("phase") == "cancelled":
+            self.cancelled_at.setdefault(answer["uid"], trio.current_time())
+        return status, answer
 
     async def submit(self, node: int = 0, **changes: Any) -> str:
         """Submit a job and assert that it is accepted."""
@@ -155,14 +162,23 @@
     async def _check_invariants(self) -> None:
         while True:
             await trio.sleep(0.1)
-            active = self.active_tasks()
-            assert all(count == 1 for count in active.values()), f"ran_twice: {active}"
-            used = sum(
-                self.jobs[name.split("/")[0]]["cores"]
-                for name in active
-                if self.jobs[name.split("/")[0]]["owner"] == "red"
-            )
-            assert used <= self.red_cpu_limit, f"quota: {used}"
+            self._check_running()
+            assert not self.violations, self.violations
+
+    def _check_running(self) -> None:
+        """Check what runs now; called at each start too, so that no short run is missed."""
+        active = self.active_tasks()
+        if any(count > 1 for count in active.values()):
+            self.violations.append(f"ran_twice: {active}")
+        used = sum(
+            self.jobs[name.split("/")[0]]["cores"] for name in active if self.jobs[name.split("/")[0]]["owner"] == "red"
+        )
+        if used > self.red_cpu_limit:
+            self.violations.append(f"quota: {used}")
+        for name in active:
+            confirmed_at = self.cancelled_at.get(name.split("/")[0], math.inf)
+            if trio.current_time() > confirmed_at + SETTINGS["cluster"]["workers"]["cancel_s"]:
+                self.violations.append(f"ran_cancelled: {name}, confirmed at {confirmed_at}")
 
 
 @asynccontextmanager
--- a/ladderfield/testing/network.py
+++ b/ladderfield/testing/network.py
@@ -10,9 +10,9 @@
 import trio
 import trio.testing
 
-from ladderfield.http import Reply, Request, Server
+from ladderfield.http import Server
+from ladderfield.testing.repeater import Handler, Repeater
 
-Handler = Callable[[Request], Awaitable[Reply]]
 origin: ContextVar[str] = ContextVar("origin", default="")  # the host on which the current task runs
 ALL_WORKERS = "workers"  # stands for every worker's host in a link
 WORKER_PREFIXES = ("10.9.", "127.9.")  # prefixes of their addresses, in memory and on loopback
@@ -37,15 +37,16 @@
         self.refused: set[Link] = set()  # connections over these links are refused, open ones reset
         self.healed = trio.Event()
         self._connections: dict[tuple[str, int], list[trio.CancelScope]] = {}  # open connections by target address
+        self.repeater = Repeater(nursery, seed=0, share=0.0)
 
     def listen(self, address: str, serve: Callable[[Any], Awaitable[None]]) -> None:
         """Serve connections to an address."""
         host, _, port = address.partition(":")
         self.serving[host, int(port)] = serve
 
-    def http(self, address: str, handler: Handler) -> None:
-        """Serve HTTP at an address."""
-        self.listen(address, Server(handler, 100, 5.0, 60.0))
+    def http(self, address: str, handler: Handler, max_connections: int = 100) -> None:
+        """Serve HTTP at an address; the repeater may deliver its requests again."""
+        self.listen(address, Server(self.repeater.wrap(address, handler), max_connections, 5.0, 60.0))
 
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
         """Replacement for ``ladderfield.http.connect``."""
--- a/ladderfield/testing/worker.py
+++ b/ladderfield/testing/worker.py
@@ -34,6 +34,7 @@
         self.tasks: dict[str, dict[str, Any]] = {}
         self.phase_ends: dict[str, float] = {}
         self.started: list[tuple[float, str, int]] = []
+        self.on_start: Callable[[], None] = lambda: None  # called after each start
         self.ended: list[tuple[float, str, int]] = []  # end of every attempt as (time, task, attempt)
         self.executed_orders: list[dict[str, Any]] = []  # every /orders request that was carried out
         self.withheld_orders: list[dict[str, Any]] = []  # /orders received while ``withhold_orders`` is set
@@ -103,6 +104,7 @@
                     self.tasks[name] = {"rung": name, "try": attempt, "phase": phase}
                     self.phase_ends[name] = trio.current_time() + self.fetch_s if self.fetch_s else self._run_end(name)
                     self.started.append((trio.current_time(), name, attempt))
+                    self.on_start()
             elif task is not None and task["try"] == attempt:
                 if order["verb"] == "stop" and task["phase"] != "exited":
                     task |= {"phase": "exited", "cause": "stopped"}
