A launch's state is one type with named transitions; the log counts repeats and refusals

What a claim knew of its launch was spread over four attributes that three modules set; Launch (queues/launch.py) has them now, with the transitions sent, listed, refused and lost. Behaviour is unchanged but for one default (a launch never sent is infinitely old).

Once a minute, if they changed, the leader logs how often tokens were raised, pushes refused (409) and reports repeated, and how many ended attempts a machine had to keep at most.

--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -22,6 +22,7 @@
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.cloud_tasks import CloudTasks
+from ladderfield.leader.delivery_counts import DeliveryLog
 from ladderfield.leader.dispatcher import Dispatcher
 from ladderfield.leader.fleet_manager import FleetManager
 from ladderfield.leader.ledger import Ledger
@@ -105,6 +106,7 @@
         self.cloud_tasks = CloudTasks(settings, term, cloud, client, view, self.send)
         self.fleet = FleetManager(term, self.scheduler, self.cloud_tasks, self.dispatcher)
         self.intake = ReportIntake(term, self.scheduler, self.dispatcher, reachability)
+        self.delivery_log = DeliveryLog(term.epoch, self.scheduler.delivery, trio.current_time())
         self._recorded_at = self._next_pass_at = -math.inf
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ReportReceived: self.intake.on_report,
@@ -242,6 +244,7 @@
         self.dispatcher.request_due(now)
         self.fleet.manage(to_delete, now)
         self._observe_reachability(now)
+        self.delivery_log.observe(now)
 
     def _observe_reachability(self, now: float) -> None:
         """Update the reachability counts of directly reporting machines, and resign if that is due."""
--- a/ladderfield/leader/fencing.py
+++ b/ladderfield/leader/fencing.py
@@ -19,7 +19,6 @@
 
     def __init__(self, epoch: int) -> None:
         self.first, self.last = first_token(epoch), epoch
-        self.raises = 0  # in this term
 
     def owns(self, token: int) -> bool:
         """Whether the token belongs to this term; a machine that shows it has accepted this leader."""
@@ -51,13 +50,13 @@
             attempt: pushed for attempt, pushed in machine.pushed_launches.items() if pushed >= token
         }
 
-    def raise_token(self, machine: Machine, reason: str, now: float) -> None:
-        """Give the machine a higher token, if there is one."""
+    def raise_token(self, machine: Machine, reason: str, now: float) -> bool:
+        """Give the machine a higher token; False if there is none."""
         token = self.token(machine)
         if token >= self.last:
-            return
+            return False
         machine.token, machine.token_raised_at = token + 1, now
-        self.raises += 1
         log.debug("machine %s: token raised to %d: %s", machine.host, machine.token, reason)
         if machine.token == self.last:
             log.info("machine %s: token %d is the last of this term, no more launches are pushed", machine.host, token)
+        return True
--- a/ladderfield/leader/machine_orders.py
+++ b/ladderfield/leader/machine_orders.py
@@ -39,7 +39,7 @@
                 result += self._stop_orders(machine, claim, now)
             # Launching an unrecorded claim could start a task unknown to the next leader: the write may be delayed
             # until this term has ended.
-            elif claim.recorded and not claim.inherited and may_start:
+            elif claim.recorded and not claim.launch.inherited and may_start:
                 result += self._launch_orders(machine, claim, now, answered_sequence)
         result += self._unclaimed_orders(machine)
         return result
@@ -53,15 +53,22 @@
         """Raise the machine's token if an attempt can't be reaped, or a claim not end, with the current one."""
         if not machine.pushed_launches:
             return
-        fencing, kept = self.tables.fencing, self._kept_attempts(machine)
+        kept = self._kept_attempts(machine)
+        self.tables.delivery.most_kept_attempts = max(self.tables.delivery.most_kept_attempts, len(kept))
+        reason = self._reason_to_raise(machine, kept, now)
+        if reason is not None and self.tables.fencing.raise_token(machine, reason, now):
+            self.tables.delivery.raised_tokens += 1
+
+    def _reason_to_raise(self, machine: Machine, kept: list[TaskId], now: float) -> str | None:
+        """Why the machine needs a higher token now, if it does."""
         if any(task in machine.claims for task in kept):
-            fencing.raise_token(machine, "a task is to start there again", now)
-        elif any(self._stop_awaits_launch(machine, claim, now) for claim in machine.claims.values()):
-            fencing.raise_token(machine, "the launch of a stopped attempt is not listed", now)
-        elif len(kept) > MAX_KEPT_ATTEMPTS or (
-            kept and now - machine.token_raised_at >= RAISE_INTERVAL_LEASES * self.tables.lease_s
-        ):
-            fencing.raise_token(machine, f"{len(kept)} attempts have ended", now)
+            return "a task is to start there again"
+        if any(self._stop_awaits_launch(machine, claim, now) for claim in machine.claims.values()):
+            return "the launch of a stopped attempt is not listed"
+        interval_over = now - machine.token_raised_at >= RAISE_INTERVAL_LEASES * self.tables.lease_s
+        if len(kept) > MAX_KEPT_ATTEMPTS or (kept and interval_over):
+            return f"{len(kept)} attempts have ended"
+        return None
 
     def _kept_attempts(self, machine: Machine) -> list[TaskId]:
         """Tasks whose ended attempt stays listed only because its launch may arrive once more."""
@@ -74,7 +81,7 @@
         return (
             claim.stop_reason is not None
             and listed is None
-            and now - claim.sent_at > RESEND_REPORT_INTERVALS * self.tables.report_s
+            and not claim.launch.was_sent_within(RESEND_REPORT_INTERVALS * self.tables.report_s, now)
             and not self.tables.fencing.excludes_copies(machine, claim.attempt)
         )
 
@@ -92,19 +99,15 @@
 
     def _launch_orders(self, machine: Machine, claim: Claim, now: float, answered_sequence: int | None) -> list[Order]:
         """Return the orders that launch a claim's attempt, if they are due."""
-        attempt, _ = machine.reported_tasks.get(claim.task, (None, ""))
-        if attempt == claim.attempt:
-            return []
-        if attempt is not None:
-            return []  # the worker refuses the launch until that attempt is reaped
+        if claim.task in machine.reported_tasks:
+            return []  # by this attempt, or by an earlier one, beside which the worker refuses the launch until its reap
         if answered_sequence is None and not self.tables.fencing.may_push_launches(machine):
             return []
-        if claim.sent_session is not None and now - claim.sent_at <= RESEND_REPORT_INTERVALS * self.tables.report_s:
+        if claim.launch.was_sent_within(RESEND_REPORT_INTERVALS * self.tables.report_s, now):
             return []
-        claim.sent_session, claim.sent_at = machine.session, now
+        claim.launch.sent(machine.session, machine.sequence if answered_sequence is None else answered_sequence, now)
         if answered_sequence is None:
             self.tables.fencing.note_pushed_launch(machine, claim.attempt)
-        claim.sent_sequence = machine.sequence if answered_sequence is None else answered_sequence
         return [Order.launch(claim.task, claim.attempt)]
 
     def _unclaimed_orders(self, machine: Machine) -> list[Order]:
--- a/ladderfield/leader/records.py
+++ b/ladderfield/leader/records.py
@@ -86,7 +86,7 @@
                 job.finished.update(range(first, last + 1))
             for index, (attempt, host) in entry.get("a", {}).items():
                 claim = Claim(job, int(index), attempt, host, hosts[host])
-                claim.page, claim.recorded, claim.inherited = page.number, True, True
+                claim.page, claim.recorded, claim.launch.inherited = page.number, True, True
                 other = claims.get(claim.task)
                 if other is None or other.attempt < attempt:
                     claims[claim.task] = claim
--- a/ladderfield/leader/report_intake.py
+++ b/ladderfield/leader/report_intake.py
@@ -36,7 +36,9 @@
         is_newest = self._is_newest(report)
         machine = self.scheduler.sessions.report(report, now, answering=True)
         orders: list[Order] = []
-        if machine is not None and is_newest:
+        if not is_newest:
+            self.scheduler.delivery.repeated_reports += 1
+        elif machine is not None:
             machine.note_route(message.relayed, now)
             may_launch = authority.allows(Decision.LAUNCH, now)
             orders = self.scheduler.sessions.orders(machine, now, report.sequence, may_launch)
@@ -89,5 +91,7 @@
         if message.report.session >= machine.session:
             self.scheduler.sessions.orders_answered(machine, message.attempts, message.executed)
         self.scheduler.sessions.report(message.report, now, answering=False)
+        if not message.executed:
+            self.scheduler.delivery.refused_pushes += 1
         if not message.executed or not self.scheduler.fencing.owns(machine.epoch):
             self.dispatcher.request(message.host)
--- a/ladderfield/leader/sessions.py
+++ b/ladderfield/leader/sessions.py
@@ -118,13 +118,13 @@
             if task_report is not None and task_report.attempt == claim.attempt:
                 self._update_listed_claim(machine, claim, task_report, now)
             elif accepted:
-                sent = claim.sent_session
+                sent = claim.launch.session
                 if self._attempt_cannot_run(machine, claim, report, answering):
                     log.info(
                         "task %s: attempt %d no longer exists on %s", task_name(claim.task), claim.attempt, machine.host
                     )
                     tables.end(claim, False, now)
-                launch_lost = launch_lost or (sent == report.session and claim.sent_session is None)
+                launch_lost = launch_lost or (sent == report.session and claim.launch.session is None)
         if launch_lost:
             self.note_ignored_message(machine, 1, now)
         if machine.unreachable_since is not None:
@@ -150,31 +150,31 @@
         The machine has accepted this leader's epoch and refuses orders of earlier leaders, so only this leader's own
         orders could still start it.
         """
-        if claim.sent_session is None:
-            if claim.inherited:
+        launch = claim.launch
+        if launch.session is None:
+            if launch.inherited:
                 return True
             # The machine refused the launch, so a claim that is being stopped can end now. But the report in the answer
             # to an /orders call may predate orders that the machine has since got in answer to its own report.
             return claim.stop_reason is not None and answering and claim.attempt not in machine.pushed_launches
-        if claim.sent_session != report.session:
+        if launch.session != report.session:
             return True  # that session is over, and the worker refuses its orders
-        if claim.attempt in machine.pushed_launches or not answering or report.sequence <= claim.sent_sequence:
+        if claim.attempt in machine.pushed_launches or not answering or report.sequence <= launch.sequence:
             return False  # a copy of the launch may still be carried out
         # The launch was sent in the answer to an earlier report. The worker has one report in flight at a time and
         # drops late answers, so that answer is lost, and only a new launch can start this attempt.
-        claim.sent_session = None
-        claim.inherited = False
+        launch.lost()
         return claim.stop_reason is not None
 
     def _update_listed_claim(self, machine: Machine, claim: Claim, task_report: TaskReport, now: float) -> None:
         """Update a claim whose attempt the machine lists, and end it if the attempt has exited."""
         tables, job = self.tables, claim.job
-        if (claim.phase is None and not claim.inherited) or (
+        if (claim.phase is None and not claim.launch.inherited) or (
             claim.stop_reason and task_report.phase in ("flushing", "exited")
         ):
             machine.confirm_reachable()  # a launch or a stop has taken effect
-        claim.sent_session = machine.session
-        inherited, claim.inherited = claim.inherited, False
+        inherited = claim.launch.inherited
+        claim.launch.listed(machine.session)
         if task_report.phase != "exited":
             if task_report.phase == "running" and claim.phase != "running":
                 claim.running_at = now
@@ -222,7 +222,7 @@
             machine.pushed_launches.pop(attempt, None)
         for claim in machine.claims.values():
             if claim.attempt in attempts:
-                claim.sent_session = None
+                claim.launch.refused()
 
 
 def lease_has_expired(machine: Machine, report: Report) -> bool:
--- a/ladderfield/leader/tables.py
+++ b/ladderfield/leader/tables.py
@@ -13,6 +13,7 @@
 from ladderfield.connectivity.authority import Authority
 from ladderfield.connectivity.earlier_leaders import EarlierLeaders
 from ladderfield.jobs.model import MachineType
+from ladderfield.leader.delivery_counts import DeliveryCounts
 from ladderfield.leader.estimates import Estimates
 from ladderfield.leader.fencing import Fencing
 from ladderfield.leader.pages import Pages
@@ -68,6 +69,7 @@
         self.changed = True  # since the last pass, in a way that may let a task start
         self._attempts = 0
         self.fencing = Fencing(epoch)
+        self.delivery = DeliveryCounts()
         self.estimates = Estimates(settings, self.wall_offset)
         self.earlier = EarlierLeaders.from_record(now + grace_s, earlier_terms or {}, settings.peers, self.wall_offset)
         self.authority: Callable[[], Authority] = self._default_authority
@@ -135,7 +137,7 @@
     @staticmethod
     def unsent(claim: Claim, machine: Machine) -> bool:
         """Whether no launch of the claim is outstanding anywhere, so that the claim can end at once."""
-        return claim.sent_session is None and not claim.inherited and claim.attempt not in machine.pushed_launches
+        return not claim.launch.may_be_outstanding and claim.attempt not in machine.pushed_launches
 
     def check_job_end(self, job: Job) -> None:
         """Note a job that has become complete, and remove a finished or cancelled one that has left all machines."""
--- a/ladderfield/leader/test_sessions.py
+++ b/ladderfield/leader/test_sessions.py
@@ -163,7 +163,7 @@
     harness = SchedulerHarness()
     machine, order = launch_by_push(harness)
     harness.scheduler.sessions.orders_answered(machine, [order["try"]], False)
-    assert not machine.pushed_launches and machine.claims["req-000001", 0].sent_session is None
+    assert not machine.pushed_launches and machine.claims["req-000001", 0].launch.session is None
     (again,) = harness.report(now=2.0)
     assert (again["verb"], again["try"]) == ("launch", order["try"])
 
@@ -190,7 +190,7 @@
     harness.report(session=2, now=15.0)
     claims = harness.machine().claims
     assert ("req-000002", 0) in claims
-    assert claims["req-000001", 0].sent_session is None, (
+    assert claims["req-000001", 0].launch.session is None, (
         "the sent claim ended, and the task was claimed again under another attempt"
     )
 
--- a/ladderfield/queues/work.py
+++ b/ladderfield/queues/work.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ladderfield.jobs.model import RANKS, JobSpec, block_count
+from ladderfield.queues.launch import Launch
 
 TaskId = tuple[str, int]
 Shape = tuple[str, float, float, float, bool, str | None, tuple[str, ...] | None]
@@ -44,15 +45,12 @@
         "host",
         "host_record",
         "index",
-        "inherited",
         "job",
+        "launch",
         "page",
         "phase",
         "recorded",
         "running_at",
-        "sent_at",
-        "sent_sequence",
-        "sent_session",
         "share",
         "stop_reason",
         "stop_sent_at",
@@ -65,12 +63,9 @@
         self.job, self.index, self.attempt, self.host = job, index, attempt, host
         self.page: int | None = None  # number of the page that the claim is recorded in
         self.recorded = False  # stored in the state service; the launch may be sent only then
-        self.inherited = False  # made by an earlier leader, which may or may not have sent the launch
+        self.launch = Launch()
         self.phase: str | None = None  # as last reported
         self.running_at: float | None = None
-        self.sent_session: int | None = None  # session of the worker that the launch was last sent to
-        self.sent_at = 0.0
-        self.sent_sequence = 0  # sequence number of the report whose answer carried the launch
         self.stop_reason: str | None = None  # why the attempt is being stopped; None while it is not
         self.stop_sent_at = -math.inf  # time of the last stop order
         self.share: CapacityShare | None = None  # the capacity share that its cpus count towards
