--- a/ladderfield/leader/machine_orders.py
+++ b/ladderfield/leader/machine_orders.py
@@ -100,7 +100,7 @@
     def _launch_orders(self, machine: Machine, claim: Claim, now: float, answered_sequence: int | None) -> list[Order]:
         """Return the orders that launch a claim's attempt, if they are due."""
         if claim.task in machine.reported_tasks:
-            return []  # by this attempt, or by an earlier one, beside which the worker refuses the launch until its reap
+            return []  # an earlier attempt there makes the worker refuse the launch
         if answered_sequence is None and not self.tables.fencing.may_push_launches(machine):
             return []
         if claim.launch.was_sent_within(RESEND_REPORT_INTERVALS * self.tables.report_s, now):
