--- a/ladderfield/leader/test_orders.py
+++ b/ladderfield/leader/test_orders.py
@@ -13,7 +13,7 @@
 from ladderfield.http import Client, NoAnswerError
 from ladderfield.leader.messages import ReportReceived
 from ladderfield.queues.work import task_name
-from ladderfield.testing.leader import leader_with_claim, session_report
+from ladderfield.testing.leader import TOKEN_NOW, leader_with_claim, session_report
 from ladderfield.workers.report import Report, TaskReport
 
 
@@ -127,3 +127,12 @@
     scheduler.stop(claim, "preempted", 0.4)
     assert verbs_answering(report, 0.5) == [], "a copy, whose answer nobody waits for"
     assert verbs_answering(msgspec.structs.replace(report, sequence=4), 0.6) == ["stop"]
+
+
+async def test_a_machine_that_shows_a_token_it_was_never_sent_is_faulty_and_gets_no_answer() -> None:
+    """Guards against a machine that would drop every later message, as the leader's own tokens stay below."""
+    leader = leader_with_claim()
+    message = ReportReceived(msgspec.structs.replace(session_report(1, 2), epoch=TOKEN_NOW + 9), False)
+    leader.intake.on_report(message, 0.2)
+    assert message.answer.is_set() and message.answer.value is None
+    assert leader.scheduler.machines["m"].faulty and not leader.term.over.is_set()
