Tests for two raises and a new session that no test missed when taken out

Each guard of the fenced launches was taken out in turn on a scratch copy. Not noticed were: the raise because a task is claimed again (the test had no raise shortly before), the raise by push for a machine that sends no reports, and a new session that clears what was pushed. Each has a test now that fails without it.

--- a/ladderfield/leader/test_sessions.py
+++ b/ladderfield/leader/test_sessions.py
@@ -8,7 +8,7 @@
 
 from ladderfield.changes import Change
 from ladderfield.http import encode
-from ladderfield.leader.machine_orders import MAX_KEPT_ATTEMPTS
+from ladderfield.leader.machine_orders import MAX_KEPT_ATTEMPTS, RESEND_REPORT_INTERVALS
 from ladderfield.testing.leader import (
     EPOCH_NOW,
     TOKEN_NOW,
@@ -60,6 +60,17 @@
     assert fencing.token(machine) == pushed + 1, "the reap is repeated with the same token"
 
 
+def test_a_machine_that_sends_no_reports_gets_a_higher_token_by_push() -> None:
+    harness = SchedulerHarness()
+    machine, order = launch_by_push(harness)
+    harness.report(tasks=(reported_task(0, order["try"], "exited", "done"),), now=2.0)
+    harness.write_records()
+    silent_since = 2.0 + RESEND_REPORT_INTERVALS * harness.scheduler.report_s
+    assert wire_orders(harness.scheduler.sessions.orders(machine, silent_since, None)) == []
+    (reap,) = wire_orders(harness.scheduler.sessions.orders(machine, silent_since + 0.1, None))
+    assert reap["verb"] == "reap" and harness.scheduler.fencing.token(machine) == TOKEN_NOW + 1
+
+
 def test_the_token_is_raised_for_ended_attempts_at_most_every_half_lease() -> None:
     harness = SchedulerHarness()
     _, first = launch_by_push(harness)
@@ -134,6 +145,7 @@
     attempt, listed = order["try"], [reported_task(0, order["try"])]
     for received in harness.report(tasks=tuple(listed), now=8.0):
         listed.append(reported_task(0, received["try"], uid=received["rung"].split("/")[0]))
+    machine.token_raised_at = 9.0  # ended attempts alone would have to wait
     _preempt(harness, attempt, 9.0)
     listed[0] = reported_task(0, attempt, "exited", "stopped")
     for now in (11.0, 12.0, 13.0):
@@ -159,6 +171,13 @@
     assert not machine.pushed_launches, "the worker refuses what has a lower token than it has seen"
 
 
+def test_a_new_session_refuses_what_was_pushed_to_the_old_one() -> None:
+    harness = SchedulerHarness()
+    machine, _ = launch_by_push(harness)
+    harness.report(session=2, now=15.0)
+    assert not machine.pushed_launches
+
+
 def test_a_refused_push_can_not_be_carried_out_later() -> None:
     harness = SchedulerHarness()
     machine, order = launch_by_push(harness)
