--- a/ladderfield/leader/test_sessions.py
+++ b/ladderfield/leader/test_sessions.py
@@ -178,6 +178,17 @@
     assert not machine.pushed_launches
 
 
+def test_a_machine_that_shows_a_raised_token_is_reachable_although_a_push_to_it_was_lost() -> None:
+    harness = SchedulerHarness()
+    machine, _ = launch_by_push(harness)
+    harness.scheduler.sessions.note_ignored_message(machine, 1, 2.0)  # the push got no answer
+    harness.scheduler.stop(machine.claims["req-000001", 0], "preempted", 3.0)
+    harness.report(now=9.0)
+    assert harness.scheduler.fencing.token(machine) == TOKEN_NOW + 1, "so that the claim can end"
+    harness.report(now=10.0, epoch=TOKEN_NOW + 1)
+    assert machine.unreachable_since is None
+
+
 def test_a_refused_push_can_not_be_carried_out_later() -> None:
     harness = SchedulerHarness()
     machine, order = launch_by_push(harness)
