--- a/ladderfield/leader/test_orders.py
+++ b/ladderfield/leader/test_orders.py
@@ -136,3 +136,25 @@
     leader.intake.on_report(message, 0.2)
     assert message.answer.is_set() and message.answer.value is None
     assert leader.scheduler.machines["m"].faulty and not leader.term.over.is_set()
+
+
+async def test_a_push_and_an_answer_carry_the_machines_raised_token(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against messages that the worker drops, as it has seen a higher token."""
+    leader = leader_with_claim()
+    sent: list[Any] = []
+
+    async def call(self: Client, method: str, target: str, body: Any, timeout: float) -> tuple[int, bytes]:
+        sent.append(body)
+        raise NoAnswerError("lost")
+
+    monkeypatch.setattr(Client, "call", call)
+    leader.scheduler.machines["m"].token = TOKEN_NOW + 3
+    async with trio.open_nursery() as nursery:
+        leader.dispatcher.nursery = nursery
+        leader.dispatcher.dispatch(0.1)
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    message = ReportReceived(session_report(1, 2), False)
+    leader.intake.on_report(message, 0.2)
+    assert message.answer.value is not None
+    assert [body.token for body in sent] == [message.answer.value.token] == [TOKEN_NOW + 3]
