--- a/review/standins_2/rig.py
+++ b/review/standins_2/rig.py
@@ -157,6 +157,7 @@
         self.rig, self.types, self.timing = rig, types, (report_s, lease_s)
         self.short: set[str] = set()
         self.boot_s = 2.0
+        self.most = 50  # machines at a time
         self.prepare: Callable[[Machine], None] = lambda machine: None  # called with each machine before it boots
         self.hires: dict[str, list[str]] = {}
         self.machines: dict[str, Machine] = {}
@@ -189,9 +190,10 @@
         if body["hire"] not in self.hires:
             self.asked.append(body["flavour"])
             self.rig.note("cloud: asked for", body["howMany"], body["flavour"], "in", body["yard"])
-            if body["flavour"] in self.short:
+            count = min(body["howMany"], self.most - sum(not machine.dead for machine in self.machines.values()))
+            if body["flavour"] in self.short or count <= 0:
                 return Reply(503, {"error": "no capacity"})
-            self.hires[body["hire"]] = [await self._boot(body) for _ in range(body["howMany"])]
+            self.hires[body["hire"]] = [await self._boot(body) for _ in range(count)]
         return Reply(200, {"hosts": self.hires[body["hire"]]})
 
     async def _boot(self, body: dict[str, Any]) -> str:
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -86,6 +86,10 @@
         self.note("worker", self.listing["uid"], self.listing["flavour"], "starts", name[0], "attempt", name[1])
         self._change()
 
+    def active(self) -> list[str]:
+        """The tasks that have not exited."""
+        return [name for (name, _), task in self.tasks.items() if task["phase"] != "exited"]
+
     def execute(self, token: Any, orders: list[dict[str, Any]]) -> bool:
         """Carry out orders unless their token is too low."""
         if not isinstance(token, int) or token < self.token:
