Machine types take as many records as they need, and only a whole list refuses a job

Cause: types_record cut the cloud's list until it fitted one record, and the planner and the jobs API took the rest for all there is. On related paths the same: an entry that can't be read was passed over in silence, the refusal was decided on the list from before the view was proven fresh, and a new leader beside the version in production would have cut the list that the old controllers refuse by.

Change: the catalog has a head record and parts in two slots, replaced as a whole; a writer fills the slot that no head names, guarded by the head and the slot's first part. 422 for a type needs a catalog that is whole; else 503. lf/types is left to the version before: it can accept a job, not refuse one, and is no longer written.

Why it works: readers have the previous catalog until every part of the next is on record, and a head whose parts are not all there says so.

--- a/ladderfield/jobs/api.py
+++ b/ladderfield/jobs/api.py
@@ -13,6 +13,7 @@
 import trio
 
 from ladderfield.connectivity.authority import Authority, Decision
+from ladderfield.fleet.catalog_keeper import CatalogReader
 from ladderfield.http import Reply, Request
 from ladderfield.jobs.cancel import CancellationHandler
 from ladderfield.jobs.cancellations import Cancellations
@@ -42,12 +43,13 @@
         view: View,
         dependencies: DependencyGraph,
         rollout: Rollout,
+        catalog_reader: CatalogReader,
         cancellations: Cancellations,
         authority: Callable[[], Authority] = Authority,
     ) -> None:
         self.authority = authority
         self.lookup = JobLookup(view, dependencies)
-        self.submissions = SubmissionHandler(settings, client, view, dependencies, rollout, self.lookup)
+        self.submissions = SubmissionHandler(settings, client, view, dependencies, rollout, self.lookup, catalog_reader)
         self.cancellations = CancellationHandler(client, view, dependencies, self.lookup, cancellations)
         # Requests above this number are rejected at once with Retry-After.
         self.max_requests = max(
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -5,12 +5,11 @@
 import logging
 import math
 import re
-from collections.abc import Mapping
-from typing import Annotated, Any, Literal
+from collections.abc import Iterable, Mapping
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
-from ladderfield.http import encode
 from ladderfield.settings import Team
 
 log = logging.getLogger(__name__)
@@ -20,7 +19,6 @@
 JOB_PREFIX = "lf/j/"
 FINAL_PREFIX = "lf/f/"  # a job's final state; never deleted
 PAGE_PREFIX = "lf/p/"  # claims and finished task ranges; one page holds entries of many jobs
-TYPES_KEY = "lf/types"
 
 PRODUCTION, URGENT, STANDARD, BEST_EFFORT = "production", "urgent", "standard", "best_effort"
 RANKS = {PRODUCTION: 0, URGENT: 1, STANDARD: 2, BEST_EFFORT: 3}
@@ -119,13 +117,24 @@
     )
 
 
-def infeasible_reason(spec: JobSpec, machine_types: Mapping[str, MachineType], teams: Mapping[str, Team]) -> str | None:
-    """Returns why the job can never run (answered with 422), or None."""
+def fits_any(spec: JobSpec, machine_types: Iterable[MachineType]) -> bool:
+    """Whether one task fits an empty machine of any of these types."""
+    return any(fits(spec, machine_type) for machine_type in machine_types)
+
+
+def infeasible_reason(spec: JobSpec, machine_types: Iterable[MachineType], teams: Mapping[str, Team]) -> str | None:
+    """Returns why the job can never run (answered with 422), or None; ``machine_types`` are all that there are."""
+    reason = over_limit_reason(spec, teams)
+    if reason is None and not fits_any(spec, machine_types):
+        reason = "a task fits no allowed machine type"
+    return reason
+
+
+def over_limit_reason(spec: JobSpec, teams: Mapping[str, Team]) -> str | None:
+    """Returns why the job can never run whatever machine types there are, or None."""
     team = teams.get(spec.team)
     if team is None:
         return "unknown team"
-    if not any(fits(spec, machine_type) for machine_type in machine_types.values()):
-        return "a task fits no allowed machine type"
     min_tasks = spec.tasks if spec.service else 1
     if (team.cpus_max and min_tasks * spec.cpus > team.cpus_max) or (
         team.gpus_max and min_tasks * spec.gpus > team.gpus_max
@@ -154,26 +163,23 @@
     return math.ceil(tasks / size)
 
 
-def types_record(value: Any, max_bytes: float) -> Any:
-    """The cloud's machine types, reduced as far as needed to fit into a record.
+class DecodedTypes(NamedTuple):
+    """Machine types by name, and how many entries of the list are none that can be read."""
 
-    Unknown fields are dropped first, then machine types from the end of the list.
-    """
-    if len(encode(value)) <= max_bytes:
-        return value
-    kept = [msgspec.to_builtins(machine_type) for machine_type in parse_types(value).values()]
-    while kept and len(encode(kept)) > max_bytes:
-        log.error("machine type %s is not recorded: the list exceeds the size limit of a record", kept.pop()["name"])
-    return kept
+    types: dict[str, MachineType]
+    unreadable: int
 
 
-def parse_types(value: Any) -> dict[str, MachineType]:
-    """Parses machine types from the cloud's answer or from the record; malformed entries are skipped."""
-    machine_types = {}
-    for item in value if isinstance(value, list) else []:
+def decode_types(entries: Any) -> DecodedTypes:
+    """Decodes machine types from the cloud's answer or from a record; entries that can't be read are counted."""
+    types: dict[str, MachineType] = {}
+    unreadable = 0
+    for entry in entries if isinstance(entries, list) else []:
         try:
-            machine_type = msgspec.convert(item, MachineType)
-        except msgspec.ValidationError:
-            continue
-        machine_types[machine_type.name] = machine_type
-    return machine_types
+            machine_type = msgspec.convert(entry, MachineType)
+        except msgspec.ValidationError as error:
+            log.error("left out a machine type that can't be read: %.200r: %s", entry, error)
+            unreadable += 1
+        else:
+            types[machine_type.name] = machine_type
+    return DecodedTypes(types, unreadable)
--- a/ladderfield/jobs/submission.py
+++ b/ladderfield/jobs/submission.py
@@ -9,20 +9,20 @@
 import msgspec
 import trio
 
+from ladderfield.fleet.catalog_keeper import CatalogReader
 from ladderfield.http import Reply
 from ladderfield.jobs.accept import Acceptor, record_size
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.jobs.lookup import JobLookup
 from ladderfield.jobs.model import (
     CANCELLED,
-    TYPES_KEY,
     JobSpec,
-    MachineType,
     MalformedJobError,
     block_size,
+    fits_any,
     infeasible_reason,
+    over_limit_reason,
     parse_job,
-    parse_types,
 )
 from ladderfield.jobs.responses import SUBMIT_TIMEOUT_S, USABLE_SHARE, unavailable
 from ladderfield.rollout import Rollout
@@ -44,12 +44,13 @@
         dependencies: DependencyGraph,
         rollout: Rollout,
         lookup: JobLookup,
+        catalog_reader: CatalogReader,
     ) -> None:
         self.view, self.dependencies, self.rollout, self.lookup = view, dependencies, rollout, lookup
+        self.catalog_reader = catalog_reader
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.block_tasks = block_size(settings.cluster.state.value_kb)
         self.acceptor = Acceptor(settings, client, view, dependencies, SUBMIT_TIMEOUT_S)
-        self._types: tuple[int, dict[str, MachineType]] = (-1, {})
 
     async def submit(self, body: bytes) -> Reply:
         """The reply to a submission."""
@@ -68,21 +69,10 @@
             return unavailable(2)  # a leader of an older version would start its tasks too early
         return await self._record(spec, record)
 
-    def types(self) -> dict[str, MachineType]:
-        """Machine types recorded in the state service."""
-        revision = self.view.revision_of(TYPES_KEY)
-        if revision != self._types[0]:
-            self._types = (revision, parse_types(self.view.get(TYPES_KEY)))
-        return self._types[1]
-
     async def _known_or_refused(self, spec: JobSpec, record: dict[str, Any]) -> Reply | None:
         """The reply for a job that is already known or has to be refused; None if it can be written."""
-        machine_types = self.types()
-        reason = (
-            infeasible_reason(spec, machine_types, self.teams) if machine_types else "unknown types"
-        ) or self._unsatisfiable_needs(spec)
         too_large = record_size(spec.uid, record) > self.acceptor.max_bytes
-        if spec.uid not in self.dependencies and reason is None and not too_large:
+        if spec.uid not in self.dependencies and not too_large and self._is_feasible(spec):
             return None
         # Both a known job and a refusal require an up-to-date view. Another controller, possibly with larger limits,
         # may have accepted the job meanwhile, and an accepted job is never refused.
@@ -93,10 +83,23 @@
             return known
         if too_large:
             return Reply(400, {"error": "its description is too large to be put on record"})
-        if not machine_types:
-            return unavailable(2)
-        reason = infeasible_reason(spec, machine_types, self.teams) or self._unsatisfiable_needs(spec)
-        return None if reason is None else Reply(422, {"error": reason})
+        if self._is_feasible(spec):
+            return None
+        reason = self._refusal(spec)
+        return unavailable(2) if reason is None else Reply(422, {"error": reason})
+
+    def _is_feasible(self, spec: JobSpec) -> bool:
+        """Whether nothing in the view is against the job, and it fits a machine type that is known."""
+        return self._refusal(spec) is None and fits_any(spec, self.catalog_reader.catalog().types.values())
+
+    def _refusal(self, spec: JobSpec) -> str | None:
+        """Returns why the job can certainly never run, as far as the view shows, or None."""
+        catalog = self.catalog_reader.catalog()
+        if catalog.whole:
+            infeasible = infeasible_reason(spec, catalog.types.values(), self.teams)
+        else:
+            infeasible = over_limit_reason(spec, self.teams)
+        return infeasible or self._unsatisfiable_needs(spec)
 
     def _unsatisfiable_needs(self, spec: JobSpec) -> str | None:
         """Returns why the needed jobs can never all be done, as far as the view shows; None if they can."""
--- a/ladderfield/jobs/test_jobs.py
+++ b/ladderfield/jobs/test_jobs.py
@@ -10,12 +10,12 @@
 
 from ladderfield.http import Client, Request
 from ladderfield.jobs.api import JobsApi
-from ladderfield.jobs.model import JobSpec, MalformedJobError, infeasible_reason, parse_job, parse_types
+from ladderfield.jobs.model import JobSpec, MalformedJobError, decode_types, infeasible_reason, parse_job
 from ladderfield.settings import Team
 from ladderfield.testing import TYPES, job
 from ladderfield.testing.jobs_api import serving_jobs_api
 
-MACHINE_TYPES = parse_types(TYPES)
+MACHINE_TYPES = decode_types(TYPES).types
 TEAMS = {"red": Team("red", cpus_max=16.0), "blue": Team("blue")}
 
 
@@ -65,7 +65,7 @@
     ],
 )  # fmt: skip
 def test_a_job_that_can_never_run_is_refused_with_the_reason(change: dict[str, Any], reason: str | None) -> None:
-    refusal = infeasible_reason(msgspec.convert(job(**change), JobSpec), MACHINE_TYPES, TEAMS)
+    refusal = infeasible_reason(msgspec.convert(job(**change), JobSpec), MACHINE_TYPES.values(), TEAMS)
     assert (refusal is None) if reason is None else (refusal is not None and reason in refusal)
 
 
--- a/ladderfield/leader/cloud_tasks.py
+++ b/ladderfield/leader/cloud_tasks.py
@@ -8,12 +8,13 @@
 
 from ladderfield.connectivity.authority import Decision
 from ladderfield.fleet.capacity import Rental
+from ladderfield.fleet.catalog import listed_catalog
+from ladderfield.fleet.catalog_writer import CatalogWriter
 from ladderfield.fleet.cloud import MAX_LISTED_PER_CALL, Cloud, CloudError, NoCapacityError
-from ladderfield.jobs.model import MAX_RECORD_SHARE, TYPES_KEY, parse_types, types_record
 from ladderfield.leader.messages import DeletionAnswered, MachinesListed, Message, RentalAnswered
 from ladderfield.leadership import EPOCH
 from ladderfield.settings import Settings
-from ladderfield.state import StateClient, StateServiceError
+from ladderfield.state import StateClient
 from ladderfield.term import Term
 from ladderfield.view import View
 
@@ -56,19 +57,18 @@
 
     async def record_types(self) -> None:
         """Keep machine types and prices in the state service, so that jobs are accepted during a cloud outage."""
+        guards = {EPOCH: self.term.epoch_revision}
+        writer = CatalogWriter(
+            self.settings, self.client, self.view, self.client.leader_writes, self.client.leader_calls, guards
+        )
         while True:
+            recorded = False
             try:
-                max_bytes = self.settings.cluster.state.value_kb * 1024 * MAX_RECORD_SHARE
-                machine_types = types_record(await self.cloud.types(), max_bytes)
-                if parse_types(machine_types) and machine_types != self.view.get(TYPES_KEY):
-                    await self.client.leader_writes.take()
-                    # The guard on the types stops a delayed copy of this write from restoring older ones.
-                    guards = {EPOCH: self.term.epoch_revision, TYPES_KEY: self.view.revision_of(TYPES_KEY)}
-                    await self.client.commit(guards, {TYPES_KEY: machine_types}, [], self.report_s)
-                await trio.sleep(TYPES_REPORT_INTERVALS * self.report_s)
-            except (CloudError, StateServiceError) as error:
+                listed = listed_catalog(await self.cloud.types())
+                recorded = bool(listed.types) and await writer.record(listed)
+            except CloudError as error:
                 log.info("machine types were not updated: %s", error)
-                await trio.sleep(self.report_s)
+            await trio.sleep(TYPES_REPORT_INTERVALS * self.report_s if recorded else self.report_s)
 
     async def rent(self, name: str, rental: Rental) -> None:
         """Rent machines under a rental name, retrying until the cloud answers."""
--- a/ladderfield/leader/records.py
+++ b/ladderfield/leader/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ladderfield.changes import Change
+from ladderfield.fleet.catalog import CATALOG_KEY, LEGACY_TYPES_KEY, is_catalog_key, recorded_catalog
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.jobs.model import (
     CANCELLED,
@@ -16,10 +17,8 @@
     FINAL_PREFIX,
     JOB_PREFIX,
     PAGE_PREFIX,
-    TYPES_KEY,
     JobSpec,
     jobs_in_record,
-    parse_types,
 )
 from ladderfield.leader.pages import HOSTS, Page
 from ladderfield.leader.tables import LeaderTables
@@ -47,10 +46,12 @@
     ) -> None:
         super().__init__(settings, epoch, now, wall, grace_s, earlier_terms)
         self.waiting_jobs = WaitingJobs(self, dependencies)
+        self._catalog_records: dict[str, Any] = {}
 
     def load(self, data: dict[str, tuple[Any, int]], now: float) -> None:
         """Rebuild the tables from all keys of the state service at a takeover."""
-        self.types = parse_types((data.get(TYPES_KEY) or (None, 0))[0])
+        self._catalog_records = {key: value for key, (value, _) in data.items() if is_catalog_key(key)}
+        self.types = recorded_catalog(self._catalog_records.get).types
         for key, (value, stamp) in data.items():
             if key.startswith(JOB_PREFIX):
                 self._add_jobs(key, value, stamp, now)
@@ -198,5 +199,11 @@
         for change in changes:
             if change.key.startswith(FINAL_PREFIX):
                 self._on_final_record(change.key, change.value, now)
-            elif change.key == TYPES_KEY:
-                self.types = parse_types(change.value)
+        self._update_types(changes)
+
+    def _update_types(self, changes: Iterable[Change]) -> None:
+        """Apply changed records of the catalog of machine types."""
+        changed = {change.key: change.value for change in changes if is_catalog_key(change.key)}
+        self._catalog_records |= changed
+        if CATALOG_KEY in changed or LEGACY_TYPES_KEY in changed:  # parts come before the head that names them
+            self.types = recorded_catalog(self._catalog_records.get).types
--- a/ladderfield/leader/test_limits.py
+++ b/ladderfield/leader/test_limits.py
@@ -8,11 +8,11 @@
 import pytest
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import MAX_RECORD_SHARE, parse_types, types_record
+from ladderfield.jobs.model import MAX_RECORD_SHARE
 from ladderfield.leader.ledger import Ledger, Transaction
 from ladderfield.leader.pages import encoded_size
 from ladderfield.settings import StateLimits
-from ladderfield.testing import TYPES, accepted, job
+from ladderfield.testing import accepted, job
 from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, reported_task
 
 VALUE_LIMIT_BYTES = 2 * 1024
@@ -248,14 +248,6 @@
         assert read_back(record) == before
 
 
-def test_the_record_of_machine_types_always_fits() -> None:
-    many = [TYPES[0] | {"name": f"m{n}", "comment": "x" * 300} for n in range(8)]
-    assert types_record(TYPES, VALUE_LIMIT_BYTES) == TYPES
-    kept = types_record(many, VALUE_LIMIT_BYTES)
-    assert len(encode(kept)) <= VALUE_LIMIT_BYTES and set(parse_types(kept)) == {f"m{n}" for n in range(8)}
-    assert 0 < len(types_record(many * 10, VALUE_LIMIT_BYTES)) < 80
-
-
 def test_a_stop_of_a_cancelled_task_does_not_wait_for_page_moves() -> None:
     record = old_record(1)
     harness = harness_with_small_limits({key: (value, 5) for key, value in record.items()})
--- a/ladderfield/queues/test_queues.py
+++ b/ladderfield/queues/test_queues.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ladderfield.jobs.model import JobSpec, parse_types
+from ladderfield.jobs.model import JobSpec, decode_types
 from ladderfield.queues.pick import Queues, Tier, max_tasks_per_zone, placeable, tiers, victims
 from ladderfield.queues.work import Claim, Job, ranges
 from ladderfield.settings import Team
@@ -15,7 +15,7 @@
 from ladderfield.testing import TYPES, job
 from ladderfield.workers.machine import Machine
 
-KIND = parse_types(TYPES)["m4"]
+KIND = decode_types(TYPES).types["m4"]
 
 
 def make_job(uid: str = "req-000001", **changes: Any) -> Job:
--- a/ladderfield/server.py
+++ b/ladderfield/server.py
@@ -16,12 +16,12 @@
 from ladderfield.connectivity.prober import WorkerProber
 from ladderfield.connectivity.reachability import LinkKind, PeerStatus, Reachability, serves_users
 from ladderfield.connectivity.succession import Succession
-from ladderfield.fleet.cloud import Cloud, CloudError
+from ladderfield.fleet.catalog_keeper import CatalogKeeper, CatalogReader
+from ladderfield.fleet.cloud import Cloud
 from ladderfield.http import Reply, Request, Server
 from ladderfield.jobs.api import JobsApi
 from ladderfield.jobs.cancellations import Cancellations
 from ladderfield.jobs.dependencies import DependencyGraph
-from ladderfield.jobs.model import MAX_RECORD_SHARE, TYPES_KEY, parse_types, types_record
 from ladderfield.jobs.responses import SUBMIT_TIMEOUT_S
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import CancellationsLearned, ControllersChecked, NoOtherLeader
@@ -40,7 +40,7 @@
 )
 from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings, address
-from ladderfield.state import StateClient, StateServiceError
+from ladderfield.state import StateClient
 from ladderfield.table_sizes import max_table_entries
 from ladderfield.term import Term
 from ladderfield.view import View
@@ -77,8 +77,10 @@
         self.cancellations = Cancellations(max_table_entries(settings))
         self.view.listeners += [self.dependencies.apply_change, self.cancellations.apply_change]
         self.rollout = Rollout(settings, self.client, self.view)
+        catalog_reader = CatalogReader(self.view)
+        self.catalog_keeper = CatalogKeeper(settings, self.cloud, self.client, self.view, catalog_reader)
         self.jobs_api = JobsApi(
-            settings, self.client, self.view, self.dependencies, self.rollout, self.cancellations,
+            settings, self.client, self.view, self.dependencies, self.rollout, catalog_reader, self.cancellations,
             self.leadership.authority,
         )  # fmt: skip
         self.reports = ReportHandler(settings, self.leadership, self.links)
@@ -213,23 +215,6 @@
         if inbox is None:
             self.reachability.workers.set_leader_counts(None)
 
-    async def run_machine_types(self) -> None:
-        """Store the machine types in the state service unless they are there; no job can be validated without them."""
-        interval_s = self.settings.cluster.workers.report_s
-        while True:
-            if self.view.synced and self.view.get(TYPES_KEY) is None:
-                try:
-                    await self.cloud.idle_budget.take()
-                    types = types_record(
-                        await self.cloud.types(), self.settings.cluster.state.value_kb * 1024 * MAX_RECORD_SHARE
-                    )
-                    if parse_types(types):
-                        await self.client.writes.take()
-                        await self.client.commit({TYPES_KEY: 0}, {TYPES_KEY: types}, [], interval_s)
-                except (CloudError, StateServiceError) as error:
-                    log.info("could not store the machine types: %s", error)
-            await trio.sleep(interval_s / 4 if self.view.get(TYPES_KEY) is None else interval_s)
-
     async def run(self) -> None:
         """Run all actors; the listeners are started by ``serve``."""
         send, receive = trio.open_memory_channel[Term](1)
@@ -241,7 +226,7 @@
                 partial(self.leadership.run, send),
                 partial(self.run_terms, receive),
                 self.rollout.run,
-                self.run_machine_types,
+                self.catalog_keeper.run,
                 self.run_health,
                 self.prober.run,
                 partial(self.cancellation_sync.run_notices, self.settings.cluster.workers.report_s / 2),
--- a/ladderfield/test_versions.py
+++ b/ladderfield/test_versions.py
@@ -13,6 +13,7 @@
 import pytest
 import trio
 
+from ladderfield.fleet.catalog import CATALOG_KEY
 from ladderfield.http import Request
 from ladderfield.jobs.model import JobSpec
 from ladderfield.leadership import Leadership
@@ -182,7 +183,7 @@
     elif key == "lf/foreman":
         assert isinstance(value["member"], str)
     else:
-        assert key.startswith(VERSION_PREFIX)
+        assert key.startswith((VERSION_PREFIX, CATALOG_KEY))
 
 
 def test_an_old_leader_can_read_the_records_of_a_new_leader() -> None:
@@ -232,7 +233,7 @@
         term = await leadership._campaign()
         assert term is not None and term.epoch == next_epoch(0)
         await trio.sleep(1)
-        assert {key.split("/")[1] for key in service.keys} >= {"j", "v", "epoch", "foreman", "types"}
+        assert {key.split("/")[1] for key in service.keys} >= {"j", "v", "epoch", "foreman", "machine-types"}
         for key, (value, _, _) in service.keys.items():
             assert_old_version_reads(key, value)
         nursery.cancel_scope.cancel()
--- a/ladderfield/test_wire_format.py
+++ b/ladderfield/test_wire_format.py
@@ -19,11 +19,11 @@
 from ladderfield.connectivity.reach_message import ReachMessage
 from ladderfield.connectivity.resignations import ResignationHistory
 from ladderfield.connectivity.worker_reach import ZoneReach
+from ladderfield.fleet.catalog import layout_of, listed_catalog
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.http import Client, Reply, Request, encode
 from ladderfield.jobs.api import JobsApi
 from ladderfield.jobs.cancellations import Cancellations
-from ladderfield.jobs.model import types_record
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.messages import ReportReceived
 from ladderfield.leadership import EPOCH, LEADER, Leadership
@@ -289,7 +289,13 @@
     assert_recorded("resignation", samples)
 
 
-def test_whole_and_trimmed_machine_types_match_the_samples() -> None:
-    noted = [TYPES[0] | {"note": "n" * 400}]
-    samples = {"whole": encode(types_record(noted, 1000)), "cut": encode(types_record(noted, 300))}
+def test_records_of_machine_types_match_the_samples() -> None:
+    catalog = listed_catalog([TYPES[0], TYPES[0] | {"name": "m8", "note": "n" * 400}, {"name": "m16"}])
+    single = layout_of(catalog, "00ff", 0, 1000)
+    split = layout_of(catalog, "00ff", 1, 300)
+    assert not single.parts and list(split.parts) == ["lf/machine-types/1/0"]
+    samples = {"single": encode(single.head), "head": encode(split.head)}
+    samples["part"] = encode(split.parts["lf/machine-types/1/0"])
     assert_recorded("types", samples)
+    for layout in (single, split):
+        assert layout.catalog() == catalog
--- a/ladderfield/testing/cluster.py
+++ b/ladderfield/testing/cluster.py
@@ -56,7 +56,8 @@
     def _boot(self, host: str, request: dict[str, Any]) -> Worker:
         address = f"10.9.0.{len(self.cloud.workers)}"
         nodes = [f"10.0.0.{number + 1}:80" for number in range(3)]
-        worker = Worker(host, address, self.net, nodes, yard=request["yard"], loaners=request["loaners"])
+        fields = {name: request[name] for name in ("flavour", "yard", "loaners")}
+        worker = Worker(host, address, self.net, nodes, **fields)
         worker.run_s = self.run_s
         worker.is_service = lambda uid: self.jobs[uid]["shape"] == "daemon"
         worker.on_start = self._check_running
--- a/ladderfield/testing/leader.py
+++ b/ladderfield/testing/leader.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from ladderfield.changes import Change
+from ladderfield.fleet.catalog import LEGACY_TYPES_KEY
 from ladderfield.fleet.cloud import Cloud
 from ladderfield.jobs.dependencies import DependencyGraph
-from ladderfield.jobs.model import TYPES_KEY
 from ladderfield.leader.actor import Leader
 from ladderfield.leader.ledger import Ledger
 from ladderfield.leader.scheduler import Scheduler
@@ -38,7 +38,7 @@
 
     def __init__(self, data: dict[str, Any] | None = None) -> None:
         self.pushed: list[str] = []
-        self.records: dict[str, Any] = {TYPES_KEY: (TYPES, 1)} | (data or {})
+        self.records: dict[str, Any] = {LEGACY_TYPES_KEY: (TYPES, 1)} | (data or {})
         self.dependencies = DependencyGraph(lambda key: self.records.get(key, (None, 0))[0])
         self.scheduler = Scheduler(settings(), EPOCH_NOW, 0.0, 1000.0, 36.0, self.dependencies)
         self.scheduler.push = lambda machine: self.pushed.append(machine.host)
--- a/ladderfield/testing/state_service.py
+++ b/ladderfield/testing/state_service.py
@@ -10,7 +10,7 @@
 import trio
 
 from ladderfield.budget import Budget
-from ladderfield.http import Reply, Request
+from ladderfield.http import Reply, Request, encode
 
 
 class StateService:
@@ -31,6 +31,7 @@
         self.answer_delay_s: Callable[[list[str]], float] = lambda keys: 0.0
         self.delay_s = 0.0  # added to every request
         self.max_page_keys = 1000
+        self.max_value_bytes, self.max_ops = 64 * 1024, 1_000_000  # larger transactions are refused
         self.call_limit: Budget | None = None  # calls above it are answered 429
         self.refused_calls = 0
         self._order: list[str] = []  # the keys in order, as of ``_order_of``: the revision and the number of keys
@@ -149,6 +150,9 @@
     def _apply(self, body: dict[str, Any]) -> Reply:
         if any(step.get("hold") is not None and step["hold"] not in self.leases for step in body["apply"]):
             return Reply(400, {"error": "no such lease"})
+        values = [encode(step["value"]) for step in body["apply"] if "put" in step]
+        if len(body["apply"]) > self.max_ops or any(len(value) > self.max_value_bytes for value in values):
+            return Reply(400, {"error": "too large"})
         failed = [guard["key"] for guard in body["guards"] if self.keys.get(guard["key"], (0, 0))[1] != guard["stamp"]]
         if failed:
             return Reply(409, {"failed": failed, "ledger": self.revision})
