--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -20,14 +20,13 @@
 
 from ladderfield.http import encode
 from ladderfield.jobs.dependencies import DependencyGraph
-from ladderfield.jobs.model import FINAL_PREFIX, JOB_PREFIX, MAX_RECORD_SHARE
+from ladderfield.jobs.model import FINAL_PREFIX, JOB_PREFIX
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, StateServiceError, WriteRefusedError
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
 
-MAX_TXN_VALUE_BYTES = 48 * 1024  # of the 64 KiB limit of a transaction; the rest is for its guards
 RECORD_OVERHEAD_BYTES = 64  # size of a record without its jobs
 GUARDS_PER_CHANGE = 4  # protocol: guards allowed in a transaction, per change allowed in it
 WRITE_TIMEOUT_SHARE = 0.25  # of the client timeout: timeout of one write
@@ -70,7 +69,7 @@
     ) -> None:
         self.client, self.view, self.dependencies, self.client_timeout_s = client, view, dependencies, client_timeout_s
         state = settings.cluster.state
-        self.max_bytes = min(state.value_kb * 1024, MAX_TXN_VALUE_BYTES) * MAX_RECORD_SHARE - RECORD_OVERHEAD_BYTES
+        self.max_bytes = state.max_record_bytes - RECORD_OVERHEAD_BYTES
         self.max_jobs = GUARDS_PER_CHANGE * state.txn_ops - 1
         self._pending: OrderedDict[str, PendingSubmission] = OrderedDict()
         self._not_empty = trio.Event()
--- a/ladderfield/jobs/model.py
+++ b/ladderfield/jobs/model.py
@@ -23,7 +23,6 @@
 PRODUCTION, URGENT, STANDARD, BEST_EFFORT = "production", "urgent", "standard", "best_effort"
 RANKS = {PRODUCTION: 0, URGENT: 1, STANDARD: 2, BEST_EFFORT: 3}
 DONE, CANCELLED = "done", "cancelled"
-MAX_RECORD_SHARE = 15 / 16  # of the state service's limit on the size of a value
 CLAIM_BYTES = 64  # approximate size of a claim in a record
 
 _UID = re.compile(r"req-[0-9]{1,18}\Z")
--- a/ladderfield/leader/ledger.py
+++ b/ladderfield/leader/ledger.py
@@ -15,11 +15,11 @@
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.leadership import EPOCH
 from ladderfield.queues.work import Claim, Job, Record
+from ladderfield.settings import MAX_TXN_VALUE_BYTES
 from ladderfield.zones.record import ZoneRecord
 
 log = logging.getLogger(__name__)
 
-MAX_TXN_BYTES = 48 * 1024  # of the protocol's limit of 64 KiB; the rest is for guards and framing
 MIN_PAGE_BYTES = 512  # lower bound of the page size when it is reduced after rejected transactions
 
 
@@ -116,7 +116,12 @@
     def _write_zones(self, txn: Transaction) -> None:
         """Add the zone record for a successor, with the lowest priority and only after a change."""
         record = self.scheduler.zones.record
-        if record is None or not record.dirty or txn.remaining_ops < 1 or txn.size + record.size() > MAX_TXN_BYTES:
+        if (
+            record is None
+            or not record.dirty
+            or txn.remaining_ops < 1
+            or txn.size + record.size() > MAX_TXN_VALUE_BYTES
+        ):
             return
         txn.guards[record.key] = record.revision
         txn.puts[record.key] = record.value()
@@ -135,7 +140,7 @@
         """Put new claims and ends of tasks on as few pages as possible."""
         pages = self.scheduler.pages
         claims = list(self.scheduler.unrecorded_claims)[::-1]  # oldest last
-        while (claims or ends) and txn.remaining_ops > 0 and txn.size + pages.max_page_bytes < MAX_TXN_BYTES:
+        while (claims or ends) and txn.remaining_ops > 0 and txn.size + pages.max_page_bytes < MAX_TXN_VALUE_BYTES:
             page = pages.emptiest(set(txn.pages))
             while claims and page.size + page.cost(claims[-1]) <= pages.max_page_bytes:
                 claim = claims.pop()
@@ -163,7 +168,7 @@
         """
         pages = self.scheduler.pages
         large = pages.large()
-        if large is None or txn.size + pages.max_page_bytes > MAX_TXN_BYTES:
+        if large is None or txn.size + pages.max_page_bytes > MAX_TXN_VALUE_BYTES:
             return
         page = pages.emptiest(set(txn.pages))
         claims: list[Claim] = []
@@ -188,7 +193,7 @@
     def _write_page(self, txn: Transaction, page: Page) -> None:
         """Add a page to the transaction unless it is in it or doesn't fit."""
         pages = self.scheduler.pages
-        if page in txn.pages or txn.remaining_ops < 1 or txn.size + pages.max_page_bytes > MAX_TXN_BYTES:
+        if page in txn.pages or txn.remaining_ops < 1 or txn.size + pages.max_page_bytes > MAX_TXN_VALUE_BYTES:
             return
         txn.guards[page.key] = page.key_revision
         txn.puts[page.key] = page.value()
--- a/ladderfield/leader/pages.py
+++ b/ladderfield/leader/pages.py
@@ -16,8 +16,9 @@
 from typing import Any
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import MAX_RECORD_SHARE, page_key
+from ladderfield.jobs.model import page_key
 from ladderfield.queues.work import Claim, Job, ranges
+from ladderfield.settings import MAX_RECORD_SHARE
 from ladderfield.workers.machine import Machine
 
 HOSTS = "hosts"  # not a valid job id
--- a/ladderfield/leader/test_limits.py
+++ b/ladderfield/leader/test_limits.py
@@ -8,10 +8,9 @@
 import pytest
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import MAX_RECORD_SHARE
 from ladderfield.leader.ledger import Ledger, Transaction
 from ladderfield.leader.pages import encoded_size
-from ladderfield.settings import StateLimits
+from ladderfield.settings import MAX_RECORD_SHARE, StateLimits
 from ladderfield.testing import accepted, job
 from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, reported_task
 
--- a/ladderfield/leadership.py
+++ b/ladderfield/leadership.py
@@ -15,7 +15,6 @@
 from ladderfield.connectivity.authority import Authority, Decision
 from ladderfield.connectivity.reachability import ReachStatus
 from ladderfield.http import encode
-from ladderfield.jobs.model import MAX_RECORD_SHARE
 from ladderfield.settings import Settings
 from ladderfield.state import StateClient, StateServiceError
 from ladderfield.term import Term, grace_of, grace_s
@@ -104,7 +103,7 @@
             earlier[record["member"]] = round(now + grace, 3)
         earlier.pop(self.settings.member, None)
         # The record must not grow beyond the limit, or the epoch could not be raised: the shortest waits are dropped.
-        max_bytes = self.settings.cluster.state.value_kb * 1024 * MAX_RECORD_SHARE - EPOCH_RECORD_BYTES
+        max_bytes = self.settings.cluster.state.max_record_bytes - EPOCH_RECORD_BYTES
         while len(encode(earlier)) + len(encode(self.settings.member)) > max_bytes:
             del earlier[min(earlier, key=lambda member: (earlier[member], member))]
         return earlier
--- a/ladderfield/settings.py
+++ b/ladderfield/settings.py
@@ -16,6 +16,12 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
+MAX_RECORD_SHARE = 15 / 16  # of the state service's limit on the size of a value
+MAX_TXN_VALUE_BYTES = (
+    48 * 1024
+)  # of the protocol's limit of 64 KiB on a transaction; the rest is for guards and framing
+
+
 class SettingsError(Exception):
     """The settings file is invalid; the message is one line that names the field."""
 
@@ -85,6 +91,11 @@
     txn_ops: Count
     next: NextLimits | None = None
 
+    @property
+    def max_record_bytes(self) -> int:
+        """The size up to which a record is written, in bytes."""
+        return int(min(self.value_kb * 1024, MAX_TXN_VALUE_BYTES) * MAX_RECORD_SHARE)
+
     def __post_init__(self) -> None:
         """Lower each limit to that of ``next`` where this is smaller."""
         for field in NextLimits.__struct_fields__:
--- a/ladderfield/zones/record.py
+++ b/ladderfield/zones/record.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ladderfield.http import encode
-from ladderfield.jobs.model import MAX_RECORD_SHARE
+from ladderfield.settings import MAX_RECORD_SHARE
 from ladderfield.zones.health import MAX_FAILURES, ZoneHealth, ZoneState
 from ladderfield.zones.waves import ZoneReturn
 
