Pages of claims fit into a transaction whatever the limit on values

With values of more than 51 KiB a page was allowed to be larger than what a transaction holds (48 KiB besides its guards), so the ledger wrote no page: no claim was recorded and no task started. Found while the sizes of records were brought together; no deployment known has such a limit. Pages take StateLimits.max_record_bytes now, which minds both limits.

test_claims_are_recorded_whatever_the_limit_on_values failed before for 64 and 512 KiB and passes now.

--- a/ladderfield/leader/pages.py
+++ b/ladderfield/leader/pages.py
@@ -18,7 +18,6 @@
 from ladderfield.http import encode
 from ladderfield.jobs.model import page_key
 from ladderfield.queues.work import Claim, Job, ranges
-from ladderfield.settings import MAX_RECORD_SHARE
 from ladderfield.workers.machine import Machine
 
 HOSTS = "hosts"  # not a valid job id
@@ -149,11 +148,11 @@
 class Pages:
     """All pages, numbered without gaps."""
 
-    def __init__(self, value_kb: float) -> None:
+    def __init__(self, max_page_bytes: int) -> None:
         self.pages: list[Page] = []
         # Pages may be larger if they were written before the state service's limit was lowered. They are read, and
         # rewritten once their live content fits; until then changes go to other pages.
-        self.max_page_bytes = int(value_kb * 1024 * MAX_RECORD_SHARE)
+        self.max_page_bytes = max_page_bytes
         self.dirty: set[Page] = set()
         self.write_failed: set[Page] = set()  # pages with unrecorded content, as their last write failed
 
--- a/ladderfield/leader/tables.py
+++ b/ladderfield/leader/tables.py
@@ -60,7 +60,7 @@
         self.cancelled_at: dict[str, float] = {}
         self.reported_cancellations: dict[str, float] = {}  # job -> when, until its record is seen
         # To be recorded: claims, ends of tasks, jobs that are complete, and records whose jobs are all over.
-        self.pages = Pages(settings.cluster.state.value_kb)
+        self.pages = Pages(settings.cluster.state.max_record_bytes)
         self.unrecorded_claims: dict[Claim, None] = {}
         self.unrecorded_ends: dict[Job, None] = {}
         self.complete_jobs: dict[Job, None] = {}
--- a/ladderfield/leader/test_limits.py
+++ b/ladderfield/leader/test_limits.py
@@ -11,8 +11,8 @@
 from ladderfield.leader.ledger import Ledger, Transaction
 from ladderfield.leader.pages import encoded_size
 from ladderfield.settings import MAX_RECORD_SHARE, StateLimits
-from ladderfield.testing import accepted, job
-from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, reported_task
+from ladderfield.testing import SETTINGS, accepted, job
+from ladderfield.testing.leader import EPOCH_NOW, SchedulerHarness, launch_job, reported_task
 
 VALUE_LIMIT_BYTES = 2 * 1024
 MAX_OPS = 5
@@ -247,6 +247,14 @@
         assert read_back(record) == before
 
 
+# Guards against: with values over 51 KiB no page fitted into a transaction, so that no claim was ever recorded.
+@pytest.mark.parametrize("value_kb", [2.0, 16.0, 48.0, 64.0, 512.0])
+def test_claims_are_recorded_whatever_the_limit_on_values(monkeypatch: pytest.MonkeyPatch, value_kb: float) -> None:
+    monkeypatch.setitem(SETTINGS["cluster"], "state", SETTINGS["cluster"]["state"] | {"value_kb": value_kb})
+    harness = SchedulerHarness()
+    launch_job(harness)
+
+
 def test_a_stop_of_a_cancelled_task_does_not_wait_for_page_moves() -> None:
     record = old_record(1)
     harness = harness_with_small_limits({key: (value, 5) for key, value in record.items()})
