A job whose description is larger than a record is accepted in several, instead of refused for good

Callers saw 400, which means malformed and is never retried, for a job that a record of the coming limits can't hold: one that names some 150 machine types, or waits for that many jobs.

Change: such a description is compressed into parts, written before the job's record, which names their digest. The record's write is guarded by the first part, and the leader's DescriptionCleaner deletes parts, the first one first, only guarded by it and by the record's absence. So of an acceptance and a deletion that meet one alone is carried out. Nothing of it is written before every controller has level 4; until then 503.

--- a/ladderfield/jobs/accept.py
+++ b/ladderfield/jobs/accept.py
@@ -14,6 +14,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Any
 
 import trio
@@ -43,10 +44,10 @@
 class PendingSubmission:
     """A job to be written, and the outcome of the write."""
 
-    __slots__ = ("answered", "known_revision", "record", "size", "uid", "write_started", "written_revision")
+    __slots__ = ("answered", "guards", "known_revision", "record", "size", "uid", "write_started", "written_revision")
 
-    def __init__(self, uid: str, record: dict[str, Any]) -> None:
-        self.uid, self.record = uid, record
+    def __init__(self, uid: str, record: dict[str, Any], guards: Mapping[str, int]) -> None:
+        self.uid, self.record, self.guards = uid, record, guards
         self.size = record_size(uid, record)
         self.answered = trio.Event()
         # None: not written, or not known to be; 0: written by us; otherwise a revision at which it was already known by
@@ -74,15 +75,18 @@
         self._pending: OrderedDict[str, PendingSubmission] = OrderedDict()
         self._not_empty = trio.Event()
 
-    async def accept(self, uid: str, record: dict[str, Any], deadline: float) -> PendingSubmission:
+    async def accept(
+        self, uid: str, record: dict[str, Any], deadline: float, guards: Mapping[str, int] | None = None
+    ) -> PendingSubmission:
         """Queues a job for writing and waits for the outcome; concurrent requests for the same job share it.
 
+        A job with ``guards`` gets a record of its own, which is written only if these keys have these revisions.
         ``answered`` may still be unset at the deadline. Then it is unknown whether the job was written, and the user
         has to retry.
         """
         submission = self._pending.get(uid)
         if submission is None:
-            submission = PendingSubmission(uid, record)
+            submission = PendingSubmission(uid, record, guards or {})
             if self._queue_delay_s() > self.client_timeout_s * MAX_QUEUE_DELAY_SHARE:
                 submission.answered.set()
                 return submission
@@ -127,6 +131,8 @@
         for submission in self._pending.values():
             if len(batch) >= self.max_jobs or (batch and size + submission.size > self.max_bytes):
                 break
+            if submission.guards:
+                return batch or [submission]
             batch.append(submission)
             size += submission.size
         return batch
@@ -137,6 +143,8 @@
             submission.write_started = True
         # The guards on the final states keep a delayed duplicate of the write from reviving an ended job.
         guards = {key: 0} | {FINAL_PREFIX + submission.uid: 0 for submission in batch}
+        for submission in batch:
+            guards |= submission.guards
         value = {"jobs": {submission.uid: submission.record for submission in batch}}
         try:
             outcome = await self.client.commit(guards, {key: value}, [], self.client_timeout_s * WRITE_TIMEOUT_SHARE)
--- a/ladderfield/jobs/dependencies.py
+++ b/ladderfield/jobs/dependencies.py
@@ -19,7 +19,8 @@
 from typing import Any, NamedTuple
 
 from ladderfield.changes import Change
-from ladderfield.jobs.model import CANCELLED, DONE, FINAL_PREFIX, JOB_PREFIX, PRODUCTION, RANKS, URGENT, jobs_in_record
+from ladderfield.jobs.descriptions import AcceptedJob, jobs_in_record
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL_PREFIX, JOB_PREFIX, PRODUCTION, RANKS, URGENT
 
 log = logging.getLogger(__name__)
 
@@ -65,10 +66,10 @@
             for uid in self._jobs_by_record.pop(change.key, ()):
                 self._remove_from_record(uid, change.key)
             if change.value is not None:
-                jobs = jobs_in_record(change.key, change.value)
+                jobs = self.jobs_in_record(change.key, change.value)
                 self._jobs_by_record[change.key] = list(jobs)
-                for uid, entry in jobs.items():
-                    self._add_to_record(uid, entry, change.key)
+                for uid, accepted in jobs.items():
+                    self._add_to_record(uid, accepted, change.key)
         elif change.key.startswith(FINAL_PREFIX) and change.value is not None:
             uid = change.key.removeprefix(FINAL_PREFIX)
             self._cancelled_indirectly.discard(uid)
@@ -78,10 +79,14 @@
             if node is not None:
                 self._propagate_urgency(node.needs)  # an ended job passes on no urgency
 
-    def _add_to_record(self, uid: str, entry: dict[str, Any], record: str) -> None:
+    def jobs_in_record(self, key: str, value: dict[str, Any]) -> dict[str, AcceptedJob]:
+        """The accepted jobs in a record, by id."""
+        return dict(jobs_in_record(key, value, self._get))
+
+    def _add_to_record(self, uid: str, accepted: AcceptedJob, record: str) -> None:
         node = self._nodes.get(uid)
         if node is None:
-            node = self._nodes[uid] = JobNode(entry["spec"], entry["at"])
+            node = self._nodes[uid] = JobNode(accepted.spec, accepted.at)
             for need in node.needs:
                 self._dependents.setdefault(need, {})[uid] = None
             if any(self.cancelled(need) for need in node.needs):
--- a/ladderfield/jobs/submission.py
+++ b/ladderfield/jobs/submission.py
@@ -4,7 +4,6 @@
 
 import logging
 import time
-from typing import Any
 
 import msgspec
 import trio
@@ -13,9 +12,12 @@
 from ladderfield.http import Reply
 from ladderfield.jobs.accept import Acceptor, record_size
 from ladderfield.jobs.dependencies import DependencyGraph
+from ladderfield.jobs.descriptions import Description, describe
 from ladderfield.jobs.lookup import JobLookup
 from ladderfield.jobs.model import (
     CANCELLED,
+    FINAL_PREFIX,
+    JOB_PREFIX,
     JobSpec,
     MalformedJobError,
     block_size,
@@ -25,9 +27,10 @@
     parse_job,
 )
 from ladderfield.jobs.responses import SUBMIT_TIMEOUT_S, USABLE_SHARE, unavailable
+from ladderfield.record_writer import RecordWriter
 from ladderfield.rollout import Rollout
 from ladderfield.settings import Settings
-from ladderfield.state import StateClient
+from ladderfield.state import StateClient, WriteRefusedError
 from ladderfield.view import View
 
 log = logging.getLogger(__name__)
@@ -50,6 +53,8 @@
         self.catalog_reader = catalog_reader
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.block_tasks = block_size(settings.cluster.state.value_kb)
+        self.max_record_bytes = settings.cluster.state.max_record_bytes
+        self.records = RecordWriter(settings, client, view, client.writes, client.calls)
         self.acceptor = Acceptor(settings, client, view, dependencies, SUBMIT_TIMEOUT_S)
 
     async def submit(self, body: bytes) -> Reply:
@@ -62,27 +67,23 @@
             return unavailable(1)
         if (final := self.lookup.final(spec.uid)) is not None:
             return final
-        record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block_tasks}
-        if (known_or_refused := await self._known_or_refused(spec, record)) is not None:
+        if (known_or_refused := await self._known_or_refused(spec)) is not None:
             return known_or_refused
         if spec.needs and not self.rollout.supports_dependencies:
             return unavailable(2)  # a leader of an older version would start its tasks too early
-        return await self._record(spec, record)
+        return await self._record(spec)
 
-    async def _known_or_refused(self, spec: JobSpec, record: dict[str, Any]) -> Reply | None:
+    async def _known_or_refused(self, spec: JobSpec) -> Reply | None:
         """The reply for a job that is already known or has to be refused; None if it can be written."""
-        too_large = record_size(spec.uid, record) > self.acceptor.max_bytes
-        if spec.uid not in self.dependencies and not too_large and self._is_feasible(spec):
+        if spec.uid not in self.dependencies and self._is_feasible(spec):
             return None
-        # Both a known job and a refusal require an up-to-date view. Another controller, possibly with larger limits,
-        # may have accepted the job meanwhile, and an accepted job is never refused.
+        # Both a known job and a refusal require an up-to-date view. Another controller may have accepted the job
+        # meanwhile, and an accepted job is never refused.
         if not await self.view.fresh(SUBMIT_TIMEOUT_S * USABLE_SHARE):
             return unavailable(1)
         known = self.lookup.state(spec.uid)
         if known is not None:
             return known
-        if too_large:
-            return Reply(400, {"error": "its description is too large to be put on record"})
         if self._is_feasible(spec):
             return None
         reason = self._refusal(spec)
@@ -110,16 +111,25 @@
         active_service = next((uid for uid in needs if self.dependencies.is_active_service(uid)), None)
         return None if active_service is None else f"{active_service}, which it waits for, is a service"
 
-    async def _record(self, spec: JobSpec, record: dict[str, Any]) -> Reply:
+    async def _record(self, spec: JobSpec) -> Reply:
         """Writes the job and replies once it is written."""
         deadline = trio.current_time() + SUBMIT_TIMEOUT_S * USABLE_SHARE
         joined_write = self.acceptor.write_started(spec.uid)
-        submission = await self.acceptor.accept(spec.uid, record, deadline)
+        record = {"spec": msgspec.to_builtins(spec), "at": round(time.time(), 3), "block": self.block_tasks}
+        guards: dict[str, int] = {}
+        if record_size(spec.uid, record) > self.acceptor.max_bytes:
+            description = describe(spec, self.max_record_bytes)
+            if not await self._write_description(spec.uid, description, deadline):
+                return await self._known_reply(spec.uid, deadline)
+            record = {**record, "description": msgspec.to_builtins(description.reference)}
+            del record["spec"]
+            # Once it is on record that the job has this description, nobody deletes its parts.
+            guards = {description.first_key: self.view.revision_of(description.first_key)}
+        submission = await self.acceptor.accept(spec.uid, record, deadline, guards)
         if joined_write and submission.known_revision is not None:
             # The write was started before this request arrived. Until its answer came, another controller may have
             # read the job, cancelled it and confirmed the cancellation.
-            fresh = await self.view.fresh(max(0.0, deadline - trio.current_time()))
-            return (self.lookup.state(spec.uid) if fresh else None) or unavailable(1)
+            return await self._known_reply(spec.uid, deadline)
         if submission.known_revision == 0:
             log.info(
                 "job %s: accepted: class %s, team %s, %d tasks, estimate %.0f s, deadline_s %s",
@@ -132,6 +142,26 @@
                 return self.lookup.state(spec.uid) or unavailable(1)
         return unavailable(1)
 
+    async def _known_reply(self, uid: str, deadline: float) -> Reply:
+        """The reply for a job that may be known by now: its state if the view is proven fresh in time, else 503."""
+        fresh = await self.view.fresh(max(0.0, deadline - trio.current_time()))
+        return (self.lookup.state(uid) if fresh else None) or unavailable(1)
+
+    async def _write_description(self, uid: str, description: Description, deadline: float) -> bool:
+        """Write the parts of a description; False if that is not done in time, or the job is known by now.
+
+        What is written stays, so that the user's next try goes on from there, at whichever controller.
+        """
+        if not self.rollout.supports_large_descriptions:
+            return False  # a leader of an older version can't read it
+        unaccepted = {JOB_PREFIX + uid: 0, FINAL_PREFIX + uid: 0}
+        with trio.move_on_at(deadline):
+            try:
+                return await self.records.write(description.parts, unaccepted)
+            except WriteRefusedError as error:
+                log.error("job %s: the state service refused a part of its description: %s", uid, error)
+        return False
+
     async def _acceptance_reply(self, spec: JobSpec, written_revision: int, deadline: float) -> Reply:
         """The reply for a job that this controller has written."""
         phase = "queued"
--- /dev/null
+++ b/ladderfield/jobs/test_descriptions.py
@@ -0,0 +1,129 @@
+"""Jobs whose description one record can't hold: accepted as a whole, run, and cleared away."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from ladderfield.http import Reply, Request, encode
+from ladderfield.jobs.descriptions import (
+    DESCRIPTION_PREFIX,
+    MissingDescriptionError,
+    describe,
+    number_of,
+    part_key,
+    recorded_spec,
+)
+from ladderfield.jobs.model import JobSpec
+from ladderfield.leader.description_cleaner import ABANDONED_S
+from ladderfield.testing import SETTINGS, StateService, job
+from ladderfield.testing.cluster import Cluster, cluster
+from ladderfield.testing.jobs_api import serving_jobs_api
+
+UID = "req-000001"
+MAX_BYTES = 1920
+ALL_UPGRADED = {f"lf/v/n{n}": {"level": 4} for n in range(3)}
+LOWER_LIMITS = {"next": {"value_kb": 2.0, "txn_ops": 6, "write_rps": 18.0}}
+
+
+def names(count: int, seed: int = 0) -> list[str]:
+    """Names of machine types that don't exist, which hardly compress."""
+    random = Random(seed)
+    return ["".join(random.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=20)) for _ in range(count)]
+
+
+def parts(service: StateService) -> list[str]:
+    return sorted((key for key in service.keys if key.startswith(DESCRIPTION_PREFIX)), key=number_of)
+
+
+@pytest.mark.parametrize("count", [1, 100, 1000, 2700])
+def test_a_description_of_any_size_is_read_back_whole_or_not_at_all(count: int) -> None:
+    spec = msgspec.convert(job(UID, flavours=names(count), bundle='"\\é' * 9), JobSpec)
+    description = describe(spec, MAX_BYTES)
+    records = msgspec.json.decode(encode(description.parts))
+    entry = {"description": msgspec.to_builtins(description.reference)}
+    assert max(len(encode(value)) for value in records.values()) <= MAX_BYTES
+    assert msgspec.convert(recorded_spec(UID, entry, records.get), JobSpec) == spec
+    other = describe(msgspec.structs.replace(spec, team="blue"), MAX_BYTES).parts
+    for key in records:
+        for damaged in (
+            {name: value for name, value in records.items() if name != key},
+            records | {key: other.get(key)},
+        ):
+            with pytest.raises(MissingDescriptionError):
+                recorded_spec(UID, entry, damaged.get)
+
+
+async def start_all(whole: Cluster) -> None:
+    for number in range(3):
+        whole.start(number)
+    await trio.sleep(20)
+
+
+# Guards against: a job that allows more machine types than a record has room for was refused for good, as malformed.
+async def test_a_job_that_allows_hundreds_of_types_runs_at_the_lower_limits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(SETTINGS["cluster"], "state", SETTINGS["cluster"]["state"] | LOWER_LIMITS)
+    async with cluster(monkeypatch, nodes=0) as whole:
+        whole.state.max_value_bytes, whole.state.max_ops, whole.state.max_page_keys = 2048, 6, 3
+        await start_all(whole)
+        whole.cloud.capacity = 0
+        whole.jobs[UID] = job(UID, rungs=1, flavours=[*names(300), "m4"], owner="blue")
+        await whole.submit_until_accepted(0, whole.jobs[UID])
+        assert len(parts(whole.state)) > 2
+        for number in range(3):
+            whole.crash(number)
+        await start_all(whole)
+        assert (await whole.call(1, "POST", "/api/jobs", whole.jobs[UID]))[0] == 200
+        whole.cloud.capacity = 20
+        await whole.wait_for_phase(2, UID, "done", 60)
+        await trio.sleep(40)
+        assert not [key for key in whole.state.keys if key.startswith(("lf/j/", DESCRIPTION_PREFIX))]
+        assert (await whole.call(1, "POST", "/api/jobs", whole.jobs[UID]))[1]["phase"] == "done"
+
+
+async def submit(api: Any, **changes: Any) -> int:
+    reply = await api(Request("POST", "/api/jobs", msgspec.json.encode(job(UID, **changes))))
+    assert isinstance(reply, Reply)
+    return reply.status
+
+
+async def test_a_job_is_not_accepted_once_a_part_of_its_description_was_deleted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        api, service = await serving_jobs_api(monkeypatch, nursery)
+        for key, value in ALL_UPGRADED.items():
+            service._apply({"guards": [], "apply": [{"put": key, "value": value}]})
+        await trio.sleep(1)
+        service.withholds = lambda keys: keys == [f"lf/j/{UID}"]
+        flavours = [*names(1500), "m4"]
+        assert await submit(api, flavours=flavours) == 503
+        service._apply({"guards": [], "apply": [{"delete": part_key(UID, 0)}]})
+        assert service.apply_withheld() == [409]
+        service.withholds = lambda keys: False
+        await trio.sleep(5)
+        assert await submit(api, flavours=flavours) == 201
+        await trio.sleep(1)
+        assert UID in api.lookup.dependencies
+        nursery.cancel_scope.cancel()
+
+
+async def test_parts_of_abandoned_submissions_are_deleted_and_others_are_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with cluster(monkeypatch) as whole:
+        kept = await whole.submit(shape="daemon", rungs=1, flavours=[*names(1500), "m4"])
+        used = parts(whole.state)
+        assert used
+        spec = msgspec.convert(job("req-000002", flavours=names(2000)), JobSpec)
+        for key, value in describe(spec, MAX_BYTES).parts.items():
+            whole.state._apply({"guards": [], "apply": [{"put": key, "value": value}]})
+        await trio.sleep(ABANDONED_S / 2)
+        assert len(parts(whole.state)) > len(used)
+        await trio.sleep(ABANDONED_S)
+        assert parts(whole.state) == used
+        assert await whole.phase(0, kept) == "running"
--- a/ladderfield/leader/actor.py
+++ b/ladderfield/leader/actor.py
@@ -23,6 +23,7 @@
 from ladderfield.jobs.dependencies import DependencyGraph
 from ladderfield.leader.cloud_tasks import CloudTasks
 from ladderfield.leader.delivery_counts import DeliveryLog
+from ladderfield.leader.description_cleaner import DescriptionCleaner
 from ladderfield.leader.dispatcher import Dispatcher
 from ladderfield.leader.fleet_manager import FleetManager
 from ladderfield.leader.ledger import Ledger
@@ -104,6 +105,7 @@
         self.scheduler.push = lambda machine: self.dispatcher.request(machine.host)
         self.writer = Writer(settings, term.epoch, client, self.send)
         self.cloud_tasks = CloudTasks(settings, term, cloud, client, view, self.send)
+        self.description_cleaner = DescriptionCleaner(settings, term, client, view)
         self.fleet = FleetManager(term, self.scheduler, self.cloud_tasks, self.dispatcher)
         self.intake = ReportIntake(term, self.scheduler, self.dispatcher, reachability)
         self.delivery_log = DeliveryLog(term.epoch, self.scheduler.delivery, trio.current_time())
@@ -146,6 +148,7 @@
                 nursery.start_soon(self._run_timer)
                 nursery.start_soon(self.cloud_tasks.list_machines)
                 nursery.start_soon(self.cloud_tasks.record_types)
+                nursery.start_soon(self.description_cleaner.run)
                 nursery.start_soon(self._loop)
                 announce(self.send)
                 if self.resignation is not None:
--- a/ladderfield/leader/records.py
+++ b/ladderfield/leader/records.py
@@ -18,7 +18,6 @@
     JOB_PREFIX,
     PAGE_PREFIX,
     JobSpec,
-    jobs_in_record,
 )
 from ladderfield.leader.pages import HOSTS, Page
 from ladderfield.leader.tables import LeaderTables
@@ -116,11 +115,11 @@
     def _add_jobs(self, key: str, value: Any, stamp: int, now: float) -> None:
         """Add the jobs of a record; a job may already be known from another record or an earlier read of this one."""
         record = Record(key, stamp)
-        for uid, entry in jobs_in_record(key, value).items():
+        for uid, accepted in self.waiting_jobs.dependencies.jobs_in_record(key, value).items():
             job = self.jobs.get(uid)
             if job is None:
-                spec = msgspec.convert(entry["spec"], JobSpec)
-                job = self.jobs[uid] = Job(spec, entry["at"] - self.wall_offset, entry["block"])
+                spec = msgspec.convert(accepted.spec, JobSpec)
+                job = self.jobs[uid] = Job(spec, accepted.at - self.wall_offset, accepted.block)
                 self.estimates.job_accepted(job)
                 self.waiting_jobs.add_job(job)
                 self.changed = True
--- a/ladderfield/rollout.py
+++ b/ladderfield/rollout.py
@@ -22,7 +22,8 @@
 JOB_DEPENDENCIES = 1  # jobs that wait for others
 CANCELLATION_SYNC = 2  # queries for cancellations over ``back``, and the grace period that they allow
 REACH_EXCHANGE = 3  # reach messages over ``back``, and the record of resignations
-OWN_LEVEL = REACH_EXCHANGE
+LARGE_DESCRIPTIONS = 4  # jobs whose description takes several records
+OWN_LEVEL = LARGE_DESCRIPTIONS
 
 
 def level_of(view: View, member: str) -> int:
@@ -53,6 +54,11 @@
         """Whether every controller understands reach messages and the record of resignations."""
         return self._all_support(REACH_EXCHANGE)
 
+    @property
+    def supports_large_descriptions(self) -> bool:
+        """Whether every controller reads descriptions of jobs that take several records."""
+        return self._all_support(LARGE_DESCRIPTIONS)
+
     def _all_support(self, level: int) -> bool:
         if self._common_level < level:
             self._common_level = min(level_of(self.view, member) for member in self.members)
