Nothing is called unknown or impossible while a record can't be read

Callers would get 404 for an accepted job, or 422 for its repeated submission, from a controller whose view had to leave out the record that holds it: a pair that can't be read, or a record that a follower of the view can't use.

View.complete says whether everything could be read and used; without that the answers are 503 until the record has changed or the keys have been read again.

--- a/ladderfield/jobs/cancel.py
+++ b/ladderfield/jobs/cancel.py
@@ -70,7 +70,7 @@
         """The reply for a job that is not in the view; None if it turns out to have been accepted."""
         if not await self.view.fresh(deadline - trio.current_time()):
             return unavailable(1)
-        return no_such_job() if self.lookup.state(uid) is None else None
+        return self.lookup.unknown() if self.lookup.state(uid) is None else None
 
     async def _write(self, uid: str) -> Outcome | None:
         """Writes the final record; None if the call failed.
--- a/ladderfield/jobs/dependencies.py
+++ b/ladderfield/jobs/dependencies.py
@@ -19,7 +19,7 @@
 from typing import Any, NamedTuple
 
 from ladderfield.changes import Change
-from ladderfield.jobs.descriptions import AcceptedJob, jobs_in_record
+from ladderfield.jobs.descriptions import AcceptedJob, MissingDescriptionError, RecordedJobs, jobs_in_record
 from ladderfield.jobs.model import CANCELLED, DONE, FINAL_PREFIX, JOB_PREFIX, PRODUCTION, RANKS, URGENT
 
 log = logging.getLogger(__name__)
@@ -66,10 +66,7 @@
             for uid in self._jobs_by_record.pop(change.key, ()):
                 self._remove_from_record(uid, change.key)
             if change.value is not None:
-                jobs = self.jobs_in_record(change.key, change.value)
-                self._jobs_by_record[change.key] = list(jobs)
-                for uid, accepted in jobs.items():
-                    self._add_to_record(uid, accepted, change.key)
+                self._add_record(change.key, self.jobs_in_record(change.key, change.value))
         elif change.key.startswith(FINAL_PREFIX) and change.value is not None:
             uid = change.key.removeprefix(FINAL_PREFIX)
             self._cancelled_indirectly.discard(uid)
@@ -79,9 +76,17 @@
             if node is not None:
                 self._propagate_urgency(node.needs)  # an ended job passes on no urgency
 
-    def jobs_in_record(self, key: str, value: dict[str, Any]) -> dict[str, AcceptedJob]:
-        """The accepted jobs in a record, by id."""
-        return dict(jobs_in_record(key, value, self._get))
+    def jobs_in_record(self, key: str, value: dict[str, Any]) -> RecordedJobs:
+        """The accepted jobs in a record."""
+        return jobs_in_record(key, value, self._get)
+
+    def _add_record(self, key: str, recorded: RecordedJobs) -> None:
+        """Adds the jobs of a record; raises MissingDescriptionError if it could not add all."""
+        self._jobs_by_record[key] = list(recorded.jobs)
+        for uid, accepted in recorded.jobs.items():
+            self._add_to_record(uid, accepted, key)
+        if recorded.missing:
+            raise MissingDescriptionError(f"{key} has jobs without a description: {recorded.missing}")
 
     def _add_to_record(self, uid: str, accepted: AcceptedJob, record: str) -> None:
         node = self._nodes.get(uid)
--- a/ladderfield/jobs/descriptions.py
+++ b/ladderfield/jobs/descriptions.py
@@ -11,7 +11,7 @@
 import math
 import zlib
 from base64 import b85decode, b85encode
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -122,15 +122,25 @@
     block: int  # tasks per block
 
 
-def jobs_in_record(key: str, value: dict[str, Any], get: Callable[[str], Any]) -> Iterator[tuple[str, AcceptedJob]]:
-    """The accepted jobs in a record with their ids; ``get`` returns the value of a key, or None.
+class RecordedJobs(msgspec.Struct, frozen=True):
+    """The accepted jobs of a record, by id, and those whose description is missing."""
+
+    jobs: dict[str, AcceptedJob]
+    missing: list[str]
+
+
+def jobs_in_record(key: str, value: dict[str, Any], get: Callable[[str], Any]) -> RecordedJobs:
+    """The accepted jobs in a record; ``get`` returns the value of a key, or None.
 
     A record of an older version holds a single job without the outer map. A job whose description is gone has ended:
     the view that still has its record is about to learn that.
     """
     entries = value["jobs"] if "jobs" in value else {key.removeprefix(JOB_PREFIX): value}
+    found = RecordedJobs({}, [])
     for uid, entry in entries.items():
         try:
-            yield uid, AcceptedJob(recorded_spec(uid, entry, get), entry["at"], entry["block"])
+            found.jobs[uid] = AcceptedJob(recorded_spec(uid, entry, get), entry["at"], entry["block"])
         except MissingDescriptionError as error:
             log.warning("job left out: %s", error)
+            found.missing.append(uid)
+    return found
--- a/ladderfield/jobs/lookup.py
+++ b/ladderfield/jobs/lookup.py
@@ -23,7 +23,11 @@
             return final
         if not await self.view.fresh(POLL_TIMEOUT_S * USABLE_SHARE):
             return unavailable(1)
-        return self.state(uid) or no_such_job()
+        return self.state(uid) or self.unknown()
+
+    def unknown(self) -> Reply:
+        """The reply for a job that a fresh view lacks: 404, or 503 if a record that can't be read may hold it."""
+        return no_such_job() if self.view.complete else unavailable(2)
 
     def final(self, uid: str) -> Reply | None:
         """The reply with the job's final state, or None if the view has none."""
--- a/ladderfield/jobs/submission.py
+++ b/ladderfield/jobs/submission.py
@@ -87,7 +87,9 @@
         if self._is_feasible(spec):
             return None
         reason = self._refusal(spec)
-        return unavailable(2) if reason is None else Reply(422, {"error": reason})
+        if reason is None or not self.view.complete:
+            return unavailable(2)  # not decided yet: the job may fit a type, or be on a record, that can't be read
+        return Reply(422, {"error": reason})
 
     def _is_feasible(self, spec: JobSpec) -> bool:
         """Whether nothing in the view is against the job, and it fits a machine type that is known."""
--- a/ladderfield/jobs/test_jobs.py
+++ b/ladderfield/jobs/test_jobs.py
@@ -218,3 +218,26 @@
         await commit({"guards": [], "apply": [{"delete": key} for key in service.keys if key.startswith("lf/j/")]})
         assert (await commit(bodies[0])).status == 409
         nursery.cancel_scope.cancel()
+
+
+# Guards against: 404 or 422 for an accepted job whose record is there but can't be read.
+async def test_nothing_is_called_unknown_while_a_record_can_not_be_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with trio.open_nursery() as nursery:
+        api, service = await serving_jobs_api(monkeypatch, nursery)
+        requests = [
+            Request("GET", "/api/jobs/req-000009", b""),
+            Request("POST", "/api/jobs/req-000009/cancel", b""),
+            Request("POST", "/api/jobs", msgspec.json.encode(job("req-000009", cores=5.0))),
+        ]
+
+        async def statuses() -> list[int]:
+            await trio.sleep(1)
+            replies = [await api(request) for request in requests]
+            return [reply.status for reply in replies if reply is not None]
+
+        unreadable = {"jobs": {"req-000009": {"spec": 7, "at": 1.0, "block": 256}}}
+        service._apply({"guards": [], "apply": [{"put": "lf/j/req-000005", "value": unreadable}]})
+        assert await statuses() == [503, 503, 503]
+        service._apply({"guards": [], "apply": [{"delete": "lf/j/req-000005"}]})
+        assert await statuses() == [404, 404, 422]
+        nursery.cancel_scope.cancel()
--- a/ladderfield/leader/records.py
+++ b/ladderfield/leader/records.py
@@ -115,7 +115,7 @@
     def _add_jobs(self, key: str, value: Any, stamp: int, now: float) -> None:
         """Add the jobs of a record; a job may already be known from another record or an earlier read of this one."""
         record = Record(key, stamp)
-        for uid, accepted in self.waiting_jobs.dependencies.jobs_in_record(key, value).items():
+        for uid, accepted in self.waiting_jobs.dependencies.jobs_in_record(key, value).jobs.items():
             job = self.jobs.get(uid)
             if job is None:
                 spec = msgspec.convert(accepted.spec, JobSpec)
--- a/ladderfield/snapshot.py
+++ b/ladderfield/snapshot.py
@@ -12,7 +12,7 @@
 import trio
 
 from ladderfield.backoff import Backoff
-from ladderfield.state import Page, StateClient, StateServiceError
+from ladderfield.state import Page, PartialPage, StateClient, StateServiceError
 
 log = logging.getLogger(__name__)
 
@@ -32,12 +32,13 @@
     Changes after the first are included for some keys only. Once those up to the last are applied, it is consistent.
     """
 
-    __slots__ = ("data", "first_revision", "last_revision", "pages")
+    __slots__ = ("complete", "data", "first_revision", "last_revision", "pages")
 
     def __init__(self, min_revision: int) -> None:
         self.data: KeyTable = {}
         self.first_revision = self.last_revision = min_revision
         self.pages = 0
+        self.complete = True  # every key could be read
 
     def add(self, page: Page, known: Mapping[str, tuple[Any, int]]) -> None:
         """Add the next page; values that are ``known`` at the same revision are shared instead of held twice."""
@@ -58,6 +59,7 @@
             self.data[pair.key] = entry
         self.first_revision = page.revision if not self.pages else self.first_revision
         self.last_revision = page.revision
+        self.complete = self.complete and not isinstance(page, PartialPage)
         self.pages += 1
 
 
--- a/ladderfield/state.py
+++ b/ladderfield/state.py
@@ -46,6 +46,10 @@
     has_more: bool = msgspec.field(name="hasNext", default=False)
 
 
+class PartialPage(Page, frozen=True):
+    """A page without the keys of it that can't be read."""
+
+
 class Event(msgspec.Struct, frozen=True):
     """A change: ``put`` or ``delete`` is the key."""
 
@@ -238,7 +242,7 @@
         raise MalformedAnswerError(f"{kind.__name__}: {error}") from None
 
 
-def _without_malformed_pairs(answer: dict[str, Any]) -> Page:
+def _without_malformed_pairs(answer: dict[str, Any]) -> PartialPage:
     """A page without the keys that can't be read, so that one of them does not keep the others from being read."""
     pairs: list[Any] = []
     found = answer.get("pairs")
@@ -249,4 +253,4 @@
             log.error("left out a key that can't be read: %.200r: %s", raw, error)
         else:
             pairs.append(raw)
-    return _converted(200, answer | {"pairs": pairs}, Page)
+    return _converted(200, answer | {"pairs": pairs}, PartialPage)
--- a/ladderfield/test_view_load.py
+++ b/ladderfield/test_view_load.py
@@ -217,5 +217,6 @@
     view.listeners.append(DependencyGraph(view.get).apply_change)
     await view._load()
     assert view.synced and set(view.data) == {"lf/f/req-000001", "lf/x/2"}
+    assert not view.complete, "what it lacks may exist"
     assert "left out a key that can't be read: {'key': 7}" in caplog.text
     assert "the record lf/f/req-000001 of revision 1 can't be used" in caplog.text
--- a/ladderfield/view.py
+++ b/ladderfield/view.py
@@ -48,6 +48,8 @@
         self.revision = -1
         self.proven_at = -math.inf  # when the last read that proved the view fresh was sent
         self.synced = False
+        self._read_complete = True  # the last full read could read every key
+        self._unusable: set[str] = set()  # keys whose present value a listener can't use
         self._consistent_from = -1  # pages are read one after the other: a consistent snapshot only from here on
         self._timeout_s = settings.cluster.workers.report_s / 2
         self._advanced = trio.Event()
@@ -71,6 +73,11 @@
         found = self.data.get(key)
         return 0 if found is None else found[1]
 
+    @property
+    def complete(self) -> bool:
+        """Whether every record could be read and used, so that what the view lacks does not exist."""
+        return self._read_complete and not self._unusable
+
     @contextmanager
     def subscribe(self) -> Iterator[Subscription]:
         """The changes from now on."""
@@ -99,6 +106,7 @@
         snapshot = await self._reader.read(self.data, self.revision)
         changes = _differences(self.data, snapshot)
         self.data = snapshot.data
+        self._read_complete = snapshot.complete
         self._consistent_from = snapshot.last_revision
         self.synced = True
         self._advance(snapshot.first_revision, changes)
@@ -151,11 +159,13 @@
 
     def _notify(self, change: Change) -> None:
         """Call the listeners; a record that one of them can't use stops neither the others nor the view."""
+        self._unusable.discard(change.key)
         for listener in self.listeners:
             try:
                 listener(change)
             except Exception:
                 log.exception("the record %s of revision %d can't be used", change.key, change.revision)
+                self._unusable.add(change.key)
 
     async def wait_for_advance(self) -> None:
         """Wait until the view advances. What the caller found before it called this, without a wait, is current."""
