--- a/ladderfield/fleet/plan.py
+++ b/ladderfield/fleet/plan.py
@@ -9,9 +9,9 @@
 
 import math
 
-from ladderfield.fleet.capacity import MachineCapacity, Offer, Plan, Rental, ZoneAllowance, slots
+from ladderfield.fleet.capacity import MachineCapacity, Offer, Plan, Rental, ZoneAllowance
+from ladderfield.fleet.offers import OfferSelector
 from ladderfield.fleet.returns import ReturnPolicy
-from ladderfield.jobs.model import fits
 from ladderfield.leader.scheduler import Scheduler
 from ladderfield.queues.work import Job, Shape
 from ladderfield.workers.machine import Machine
@@ -30,6 +30,7 @@
         self.scheduler = scheduler
         self.refusals: dict[Offer, tuple[float, float]] = {}  # until when not to ask, and the backoff in seconds
         self.needed_hosts: set[str] = set()  # machines on which the last plan placed tasks
+        self._offers = OfferSelector((), ())  # of the present plan
         self._return_policy = ReturnPolicy(scheduler)
 
     def note_refusal(self, offer: Offer, now: float) -> None:
@@ -45,6 +46,8 @@
     def rentals(self, now: float) -> list[Rental]:
         """What to rent now, given the machines that are up or booting."""
         scheduler = self.scheduler
+        refused = {offer for offer, (until, _) in self.refusals.items() if until > now}
+        self._offers = OfferSelector(scheduler.types.values(), refused)
         plan = Plan(
             MachineCapacity(machine) for machine in scheduler.machines.values() if self._accepts_tasks(machine, now)
         )
@@ -145,26 +148,14 @@
         With ``weigh_boot_time`` the price is multiplied by the boot time.
         """
         spec = allowance.spec
-        best: tuple[float, Offer] | None = None
-        for kind in self.scheduler.types.values():
-            if not fits(spec, kind):
-                continue
-            slots_per_machine = slots(spec, kind.cpus, kind.gpus, kind.memory_gb)
-            for zone in kind.zones:
-                if spec.zone not in (None, zone) or allowance.remaining(zone) <= 0:
-                    continue
-                if not self.scheduler.zones.may_rent_in(zone, spec, now):
-                    continue
-                for spot in kinds:
-                    offer = Offer(kind.name, zone, spot)
-                    if (spot and not spec.spot) or self.refusals.get(offer, (-math.inf, 0.0))[0] > now:
-                        continue
-                    cost = (kind.spot_price if spot else kind.price) / max(1, min(slots_per_machine, need))
-                    if weigh_boot_time:
-                        cost *= kind.boot_s
-                    if best is None or (cost, offer) < best:
-                        best = (cost, offer)
-        return best[1] if best else None
+        zones = [
+            zone
+            for zone in self._offers.zones
+            if spec.zone in (None, zone)
+            and allowance.remaining(zone) > 0
+            and self.scheduler.zones.may_rent_in(zone, spec, now)
+        ]
+        return self._offers.cheapest(spec, need, zones, kinds, weigh_boot_time)
 
     def machines_to_return(self, now: float) -> list[Machine]:
         """Idle machines to return, none of which the last plan needs."""
--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from random import Random
+
+import msgspec
+import pytest
+
+from ladderfield.fleet import offers
 from ladderfield.fleet.capacity import MAX_RENT_CALLS_PER_OFFER, Offer
 from ladderfield.fleet.cloud import MAX_RENTED_PER_CALL
+from ladderfield.fleet.offers import OfferSelector
 from ladderfield.fleet.plan import Planner
+from ladderfield.jobs.model import JobSpec, MachineType, fits
+from ladderfield.testing import TYPES, job
 from ladderfield.testing.leader import SchedulerHarness, launch_job, reported_task
 
 
@@ -126,3 +135,56 @@
         harness.submit("req-000001", rungs=6, owner="blue", cores=4.0, shape="daemon")
         rented.append(count(planner, 14.0))
     assert rented[1] == rented[0] + 2
+
+
+# Guards against: a plan that looked at every machine type again for every job took seconds with hundreds of types.
+def test_machine_types_are_looked_at_once_for_all_jobs_with_the_same_needs(monkeypatch: pytest.MonkeyPatch) -> None:
+    looked_at = []
+
+    def counted(spec: JobSpec, machine_type: MachineType) -> bool:
+        looked_at.append(machine_type.name)
+        return fits(spec, machine_type)
+
+    monkeypatch.setattr(offers, "fits", counted)
+    harness = SchedulerHarness()
+    harness.scheduler.types = {
+        f"m{n}": msgspec.convert(TYPES[0] | {"name": f"m{n}", "price": 0.2 + n}, MachineType) for n in range(300)
+    }
+    for number in range(100):
+        harness.submit(f"req-{number:06d}", rungs=1 + number % 3, owner="blue")
+    (rental,) = Planner(harness.scheduler).rentals(1.0)
+    assert rental.offer.type_name == "m0" and len(looked_at) == 300
+
+
+def test_the_cheapest_offer_is_that_of_a_search_of_all() -> None:
+    random = Random(7)
+    machine_types = [
+        msgspec.convert(
+            TYPES[0]
+            | {"name": f"m{n}", "cores": random.choice([2, 4, 8]), "price": random.choice([0.1, 0.2, 0.4]),
+               "lowPrice": random.choice([0.1, 0.2]), "readyS": random.choice([10, 30]),
+               "yards": random.sample(["za", "zb", "zc"], 2)},
+            MachineType,
+        )
+        for n in range(30)
+    ]  # fmt: skip
+    every = [Offer(kind.name, zone, spot) for kind in machine_types for zone in kind.zones for spot in (True, False)]
+    by_name = {kind.name: kind for kind in machine_types}
+    refused = set(random.sample(every, 60))
+    selector = OfferSelector(machine_types, refused)
+    for _ in range(500):
+        spec = msgspec.convert(
+            job(cores=random.choice([1.0, 2.0, 3.0, 9.0]), rungs=random.randrange(1, 9), loaners=random.random() < 0.5),
+            JobSpec,
+        )
+        need, zones, weigh = random.randrange(1, 12), random.sample(["za", "zb", "zc"], 2), random.random() < 0.5
+
+        def cost(offer: Offer, spec: JobSpec = spec, need: int = need, weigh: bool = weigh) -> tuple[float, Offer]:
+            kind = by_name[offer.type_name]
+            tasks = max(1, min(int(kind.cpus / spec.cpus), int(kind.memory_gb / spec.memory_gb), spec.tasks, need))
+            return (kind.spot_price if offer.spot else kind.price) / tasks * (kind.boot_s if weigh else 1.0), offer
+
+        allowed = [offer for offer in every if offer not in refused and offer.zone in zones]
+        allowed = [offer for offer in allowed if fits(spec, by_name[offer.type_name]) and (spec.spot or not offer.spot)]
+        expected = min(map(cost, allowed), default=(0.0, None))[1]
+        assert selector.cheapest(spec, need, zones, (True, False), weigh) == expected
