Tests at lower limits share their stand-ins; the catalog's writing is logged

The types, limits, cluster and writers that three test files had each for themselves are in testing/lower_limits.py. The log says at info how many machine types were recorded on how many records.

--- a/ladderfield/fleet/catalog_writer.py
+++ b/ladderfield/fleet/catalog_writer.py
@@ -47,9 +47,13 @@
                 return True
             head = {CATALOG_KEY: self.view.revision_of(CATALOG_KEY)}
             try:
-                return await self.records.write({**layout.parts, CATALOG_KEY: layout.head}, head, WRITE_SHARE)
+                written = await self.records.write({**layout.parts, CATALOG_KEY: layout.head}, head, WRITE_SHARE)
             except WriteRefusedError as error:
                 log.error("the state service rejected records of machine types permanently: %s", error)
                 self.records.max_ops = max(1, self.records.max_ops // 2)
                 self.max_record_bytes = max(MIN_RECORD_BYTES, self.max_record_bytes // 2)
-            await trio.sleep(self.records.retry_s)
+                await trio.sleep(self.records.retry_s)
+                continue
+            if written:
+                log.info("%d machine types recorded on %d records", len(listed.types), 1 + len(layout.parts))
+            return written
--- a/ladderfield/fleet/test_plan.py
+++ b/ladderfield/fleet/test_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 import msgspec
 import pytest
@@ -158,33 +159,24 @@
 
 def test_the_cheapest_offer_is_that_of_a_search_of_all() -> None:
     random = Random(7)
-    machine_types = [
-        msgspec.convert(
-            TYPES[0]
-            | {"name": f"m{n}", "cores": random.choice([2, 4, 8]), "price": random.choice([0.1, 0.2, 0.4]),
-               "lowPrice": random.choice([0.1, 0.2]), "readyS": random.choice([10, 30]),
-               "yards": random.sample(["za", "zb", "zc"], 2)},
-            MachineType,
-        )
+    kinds = [
+        MachineType(f"m{n}", random.choice([2, 4, 8]), 0, 16, 50, 1.0, random.choice([0.1, 0.2, 0.4]), 0.1,
+                    random.choice([10, 30]), random.sample(["za", "zb", "zc"], 2))
         for n in range(30)
     ]  # fmt: skip
-    every = [Offer(kind.name, zone, spot) for kind in machine_types for zone in kind.zones for spot in (True, False)]
-    by_name = {kind.name: kind for kind in machine_types}
-    refused = set(random.sample(every, 60))
-    selector = OfferSelector(machine_types, refused)
+    every = {Offer(kind.name, zone, spot): kind for kind in kinds for zone in kind.zones for spot in (True, False)}
+    refused = set(random.sample(list(every), 60))
+    selector = OfferSelector(kinds, refused)
     for _ in range(500):
-        spec = msgspec.convert(
-            job(cores=random.choice([1.0, 2.0, 3.0, 9.0]), rungs=random.randrange(1, 9), loaners=random.random() < 0.5),
-            JobSpec,
-        )
+        changes: dict[str, Any] = {"cores": random.choice([1.0, 2.0, 3.0, 9.0]), "rungs": random.randrange(1, 9)}
+        spec = msgspec.convert(job(loaners=random.random() < 0.5, **changes), JobSpec)
         need, zones, weigh = random.randrange(1, 12), random.sample(["za", "zb", "zc"], 2), random.random() < 0.5
-
-        def cost(offer: Offer, spec: JobSpec = spec, need: int = need, weigh: bool = weigh) -> tuple[float, Offer]:
-            kind = by_name[offer.type_name]
-            tasks = max(1, min(int(kind.cpus / spec.cpus), int(kind.memory_gb / spec.memory_gb), spec.tasks, need))
-            return (kind.spot_price if offer.spot else kind.price) / tasks * (kind.boot_s if weigh else 1.0), offer
-
-        allowed = [offer for offer in every if offer not in refused and offer.zone in zones]
-        allowed = [offer for offer in allowed if fits(spec, by_name[offer.type_name]) and (spec.spot or not offer.spot)]
-        expected = min(map(cost, allowed), default=(0.0, None))[1]
+        costs = []
+        for offer in every.keys() - refused:
+            kind = every[offer]
+            if offer.zone in zones and fits(spec, kind) and (spec.spot or not offer.spot):
+                tasks = max(1, min(int(kind.cpus / spec.cpus), 4, spec.tasks, need))  # memory holds 4
+                price = kind.spot_price if offer.spot else kind.price
+                costs.append((price / tasks * (kind.boot_s if weigh else 1.0), offer))
+        expected = min(costs)[1] if costs else None
         assert selector.cheapest(spec, need, zones, (True, False), weigh) == expected
--- a/ladderfield/jobs/submission.py
+++ b/ladderfield/jobs/submission.py
@@ -93,7 +93,8 @@
 
     def _is_feasible(self, spec: JobSpec) -> bool:
         """Whether nothing in the view is against the job, and it fits a machine type that is known."""
-        return self._refusal(spec) is None and fits_any(spec, self.catalog_reader.catalog().types.values())
+        catalog = self.catalog_reader.catalog()
+        return self._refusal(spec) is None and (catalog.whole or fits_any(spec, catalog.types.values()))
 
     def _refusal(self, spec: JobSpec) -> str | None:
         """Returns why the job can certainly never run, as far as the view shows, or None."""
--- a/ladderfield/jobs/test_descriptions.py
+++ b/ladderfield/jobs/test_descriptions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
 from typing import Any
 
 import msgspec
@@ -20,20 +19,18 @@
 )
 from ladderfield.jobs.model import JobSpec
 from ladderfield.leader.description_cleaner import ABANDONED_S
-from ladderfield.testing import SETTINGS, StateService, job
-from ladderfield.testing.cluster import Cluster, cluster
+from ladderfield.testing import TYPES, StateService, job
+from ladderfield.testing.cluster import cluster
 from ladderfield.testing.jobs_api import serving_jobs_api
+from ladderfield.testing.lower_limits import (
+    MAX_RECORD_BYTES,
+    cluster_at_lower_limits,
+    incompressible_names,
+    start_all,
+)
 
 UID = "req-000001"
-MAX_BYTES = 1920
 ALL_UPGRADED = {f"lf/v/n{n}": {"level": 4} for n in range(3)}
-LOWER_LIMITS = {"next": {"value_kb": 2.0, "txn_ops": 6, "write_rps": 18.0}}
-
-
-def names(count: int, seed: int = 0) -> list[str]:
-    """Names of machine types that don't exist, which hardly compress."""
-    random = Random(seed)
-    return ["".join(random.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=20)) for _ in range(count)]
 
 
 def parts(service: StateService) -> list[str]:
@@ -42,13 +39,13 @@
 
 @pytest.mark.parametrize("count", [1, 100, 1000, 2700])
 def test_a_description_of_any_size_is_read_back_whole_or_not_at_all(count: int) -> None:
-    spec = msgspec.convert(job(UID, flavours=names(count), bundle='"\\é' * 9), JobSpec)
-    description = describe(spec, MAX_BYTES)
+    spec = msgspec.convert(job(UID, flavours=incompressible_names(count), bundle='"\\é' * 9), JobSpec)
+    description = describe(spec, MAX_RECORD_BYTES)
     records = msgspec.json.decode(encode(description.parts))
     entry = {"description": msgspec.to_builtins(description.reference)}
-    assert max(len(encode(value)) for value in records.values()) <= MAX_BYTES
+    assert max(len(encode(value)) for value in records.values()) <= MAX_RECORD_BYTES
     assert msgspec.convert(recorded_spec(UID, entry, records.get), JobSpec) == spec
-    other = describe(msgspec.structs.replace(spec, team="blue"), MAX_BYTES).parts
+    other = describe(msgspec.structs.replace(spec, team="blue"), MAX_RECORD_BYTES).parts
     for key in records:
         for damaged in (
             {name: value for name, value in records.items() if name != key},
@@ -58,20 +55,12 @@
                 recorded_spec(UID, entry, damaged.get)
 
 
-async def start_all(whole: Cluster) -> None:
-    for number in range(3):
-        whole.start(number)
-    await trio.sleep(20)
-
-
 # Guards against: a job that allows more machine types than a record has room for was refused for good, as malformed.
 async def test_a_job_that_allows_hundreds_of_types_runs_at_the_lower_limits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(SETTINGS["cluster"], "state", SETTINGS["cluster"]["state"] | LOWER_LIMITS)
-    async with cluster(monkeypatch, nodes=0) as whole:
-        whole.state.max_value_bytes, whole.state.max_ops, whole.state.max_page_keys = 2048, 6, 3
-        await start_all(whole)
+    async with cluster_at_lower_limits(monkeypatch, TYPES) as whole:
+        whole.state.max_page_keys = 3
         whole.cloud.capacity = 0
-        whole.jobs[UID] = job(UID, rungs=1, flavours=[*names(300), "m4"], owner="blue")
+        whole.jobs[UID] = job(UID, rungs=1, flavours=[*incompressible_names(300), "m4"], owner="blue")
         await whole.submit_until_accepted(0, whole.jobs[UID])
         assert len(parts(whole.state)) > 2
         for number in range(3):
@@ -100,7 +89,7 @@
             service._apply({"guards": [], "apply": [{"put": key, "value": value}]})
         await trio.sleep(1)
         service.withholds = lambda keys: keys == [f"lf/j/{UID}"]
-        flavours = [*names(1500), "m4"]
+        flavours = [*incompressible_names(1500), "m4"]
         assert await submit(api, flavours=flavours) == 503
         service._apply({"guards": [], "apply": [{"delete": part_key(UID, 0)}]})
         assert service.apply_withheld() == [409]
@@ -116,11 +105,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async with cluster(monkeypatch) as whole:
-        kept = await whole.submit(shape="daemon", rungs=1, flavours=[*names(1500), "m4"])
+        kept = await whole.submit(shape="daemon", rungs=1, flavours=[*incompressible_names(1500), "m4"])
         used = parts(whole.state)
         assert used
-        spec = msgspec.convert(job("req-000002", flavours=names(2000)), JobSpec)
-        for key, value in describe(spec, MAX_BYTES).parts.items():
+        spec = msgspec.convert(job("req-000002", flavours=incompressible_names(2000)), JobSpec)
+        for key, value in describe(spec, MAX_RECORD_BYTES).parts.items():
             whole.state._apply({"guards": [], "apply": [{"put": key, "value": value}]})
         await trio.sleep(ABANDONED_S / 2)
         assert len(parts(whole.state)) > len(used)
--- a/ladderfield/test_machine_types.py
+++ b/ladderfield/test_machine_types.py
@@ -2,51 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from random import Random
 from typing import Any
 
 import pytest
 import trio
 
-from ladderfield.testing import SETTINGS, TYPES, job
+from ladderfield.testing import job
 from ladderfield.testing.cluster import Cluster, cluster
+from ladderfield.testing.lower_limits import (
+    announce_lower_limits,
+    cluster_at_lower_limits,
+    lower_limits,
+    many_types,
+)
 
 TYPE_COUNT = 60
-NEXT_LIMITS = {"value_kb": 2.0, "txn_ops": 6, "write_rps": 18.0}
 LAST = f"m{TYPE_COUNT - 1}"
-
-
-def many_types(seed: int = 0) -> list[dict[str, Any]]:
-    """Types m0, m1, ... in two zones; the seed moves their spot prices."""
-    prices = Random(seed)
-    return [TYPES[0] | {"name": f"m{n}", "lowPrice": 0.1 * prices.uniform(0.7, 1.3)} for n in range(TYPE_COUNT)]
-
-
-def announce_lower_limits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Name the lower limits in the settings of controllers that start from now on."""
-    monkeypatch.setitem(SETTINGS["cluster"], "state", SETTINGS["cluster"]["state"] | {"next": NEXT_LIMITS})
-
-
-def lower_limits(whole: Cluster) -> None:
-    """Let the state service lower its limits."""
-    whole.state.max_value_bytes, whole.state.max_ops = 2048, 6
-
-
-@asynccontextmanager
-async def cluster_with_many_types(monkeypatch: pytest.MonkeyPatch, lowered: bool) -> AsyncIterator[Cluster]:
-    """Run a cluster whose cloud has many types; with ``lowered``, at the lower limits from the start."""
-    if lowered:
-        announce_lower_limits(monkeypatch)
-    async with cluster(monkeypatch, nodes=0) as whole:
-        if lowered:
-            lower_limits(whole)
-        whole.cloud.types = many_types()
-        for number in range(3):
-            whole.start(number)
-        await trio.sleep(20)
-        yield whole
+ABSENT = f"m{TYPE_COUNT}"
 
 
 async def submit_status(whole: Cluster, node: int, uid: str, **changes: Any) -> int:
@@ -57,10 +30,10 @@
 
 # Guards against: jobs of types beyond the first record were refused for good, or accepted and never started (review/8).
 async def test_jobs_of_every_machine_type_run_at_the_lower_limits(monkeypatch: pytest.MonkeyPatch) -> None:
-    async with cluster_with_many_types(monkeypatch, lowered=True) as whole:
+    async with cluster_at_lower_limits(monkeypatch, many_types(TYPE_COUNT)) as whole:
         assert await submit_status(whole, 0, "req-000001", flavours=[LAST]) == 201
         assert await submit_status(whole, 1, "req-000002", flavours=["m0"]) == 201
-        assert await submit_status(whole, 2, "req-000003", flavours=["m60"]) == 422
+        assert await submit_status(whole, 2, "req-000003", flavours=[ABSENT]) == 422
         for uid in ("req-000001", "req-000002"):
             await whole.wait_for_phase(0, uid, "done", 60)
         types = {worker.report_fields["flavour"] for worker in whole.cloud.workers.values()}
@@ -69,7 +42,7 @@
 
 # Guards against: an accepted job was never started again once the limits fell and the controllers were replaced.
 async def test_an_accepted_job_runs_after_an_upgrade_to_lower_limits(monkeypatch: pytest.MonkeyPatch) -> None:
-    async with cluster_with_many_types(monkeypatch, lowered=False) as whole:
+    async with cluster_at_lower_limits(monkeypatch, many_types(TYPE_COUNT), lowered=False) as whole:
         whole.cloud.capacity = 0
         assert await submit_status(whole, 0, "req-000001", flavours=[LAST]) == 201
         announce_lower_limits(monkeypatch)
@@ -78,7 +51,7 @@
             await trio.sleep(3)
             whole.start(number)
             await trio.sleep(10)
-        lower_limits(whole)
+        lower_limits(whole.state)
         whole.cloud.capacity = 20
         assert await submit_status(whole, 1, "req-000002", flavours=[LAST]) == 201
         await whole.wait_for_phase(0, "req-000001", "done", 120)
@@ -91,10 +64,10 @@
     monkeypatch: pytest.MonkeyPatch, seed: int
 ) -> None:
     random = Random(seed)
-    async with cluster_with_many_types(monkeypatch, lowered=True) as whole:
+    async with cluster_at_lower_limits(monkeypatch, many_types(TYPE_COUNT)) as whole:
         whole.state.late_transaction_every = 5
         for step in range(12):
-            whole.cloud.types = many_types(step)
+            whole.cloud.types = many_types(TYPE_COUNT, 0.1 + step / 100)
             number = random.randrange(3)
             await trio.sleep(random.uniform(0, 50))
             whole.crash(number)
@@ -108,7 +81,7 @@
         whole.state.late_transaction_every, whole.cloud.down = 0, False
         await trio.sleep(30)
         for node in range(3):
-            assert await submit_status(whole, node, f"req-99990{node}", flavours=["m60"]) == 422
+            assert await submit_status(whole, node, f"req-99990{node}", flavours=[ABSENT]) == 422
             assert await submit_status(whole, node, f"req-99991{node}", flavours=[LAST]) == 201
 
 
@@ -119,8 +92,8 @@
     announce_lower_limits(monkeypatch)
     async with cluster(monkeypatch, nodes=0) as whole:
         whole.cloud.down = True
-        whole.cloud.types = many_types()
-        whole.state.keys["lf/types"] = (many_types()[:5], 1, None)
+        whole.cloud.types = many_types(TYPE_COUNT)
+        whole.state.keys["lf/types"] = (many_types(5), 1, None)
         whole.start(0)
         await trio.sleep(20)
         assert await submit_status(whole, 0, "req-000001", flavours=["m0"]) == 201
@@ -129,6 +102,6 @@
         whole.cloud.down = False
         await trio.sleep(30)
         assert await submit_status(whole, 0, "req-000002", flavours=[LAST]) == 201
-        assert await submit_status(whole, 0, "req-000004", flavours=["m60"]) == 422
+        assert await submit_status(whole, 0, "req-000004", flavours=[ABSENT]) == 422
         assert whole.state.keys["lf/types"][1] == 1, "the version before reads it whole: it must not be cut"
         await whole.wait_for_phase(0, "req-000002", "done", 60)
