A job on record that can't be read keeps no other from running

Cause: the leader and the dependency graph each converted records in their own way, and only the graph's errors were caught.

The test failed before in all four forms.

--- a/ladderfield/jobs/dependencies.py
+++ b/ladderfield/jobs/dependencies.py
@@ -19,14 +19,18 @@
 from typing import Any, NamedTuple
 
 from ladderfield.changes import Change
-from ladderfield.jobs.descriptions import AcceptedJob, MissingDescriptionError, RecordedJobs, jobs_in_record
-from ladderfield.jobs.model import CANCELLED, DONE, FINAL_PREFIX, JOB_PREFIX, PRODUCTION, RANKS, URGENT
+from ladderfield.jobs.descriptions import AcceptedJob, RecordedJobs, jobs_in_record
+from ladderfield.jobs.model import CANCELLED, DONE, FINAL_PREFIX, JOB_PREFIX, PRODUCTION, RANKS, URGENT, JobSpec
 
 log = logging.getLogger(__name__)
 
 PROPAGATION_STEPS = 8  # for each job; more are needed only if records contain a cycle
 
 
+class UnreadableRecordError(Exception):
+    """A record has jobs that can't be read, so the graph lacks them."""
+
+
 class Due(NamedTuple):
     """A due time: the time of day, and its distance in seconds from the submission that set it."""
 
@@ -39,13 +43,12 @@
 
     __slots__ = ("due", "estimate_s", "needs", "own_urgency", "rank", "records", "service")
 
-    def __init__(self, spec: dict[str, Any], at: float) -> None:
-        self.needs: tuple[str, ...] = tuple(spec.get("waitsOn") or ())
-        self.service = spec["shape"] == "daemon"
-        self.estimate_s = float(spec["expectS"])
-        allowed = spec.get("dueS")
-        due = None if allowed is None else Due(at + allowed, allowed)
-        self.own_urgency: tuple[int, Due | None] = (RANKS[spec["rank"]], due)
+    def __init__(self, spec: JobSpec, at: float) -> None:
+        self.needs: tuple[str, ...] = tuple(spec.needs or ())
+        self.service = spec.service
+        self.estimate_s = spec.estimate_s
+        due = None if spec.deadline_s is None else Due(at + spec.deadline_s, spec.deadline_s)
+        self.own_urgency: tuple[int, Due | None] = (RANKS[spec.rank], due)
         self.rank, self.due = self.own_urgency  # own urgency combined with what it inherits
         self.records: set[str] = set()
 
@@ -81,12 +84,12 @@
         return jobs_in_record(key, value, self._get)
 
     def _add_record(self, key: str, recorded: RecordedJobs) -> None:
-        """Adds the jobs of a record; raises MissingDescriptionError if it could not add all."""
+        """Adds the jobs of a record; raises UnreadableRecordError if it could not add all."""
         self._jobs_by_record[key] = list(recorded.jobs)
         for uid, accepted in recorded.jobs.items():
             self._add_to_record(uid, accepted, key)
-        if recorded.missing:
-            raise MissingDescriptionError(f"{key} has jobs without a description: {recorded.missing}")
+        if recorded.unreadable:
+            raise UnreadableRecordError(f"{key} has jobs that can't be read: {recorded.unreadable}")
 
     def _add_to_record(self, uid: str, accepted: AcceptedJob, record: str) -> None:
         node = self._nodes.get(uid)
--- a/ladderfield/jobs/descriptions.py
+++ b/ladderfield/jobs/descriptions.py
@@ -88,7 +88,7 @@
     return Description(DescriptionReference(digest, count), parts)
 
 
-def recorded_spec(uid: str, entry: Mapping[str, Any], get: Callable[[str], Any]) -> dict[str, Any]:
+def recorded_spec(uid: str, entry: Mapping[str, Any], get: Callable[[str], Any]) -> Any:
     """The description of a job that is on record, as builtins; raises MissingDescriptionError.
 
     Args:
@@ -97,14 +97,13 @@
         get: returns the value of a key, or None.
     """
     if "spec" in entry:
-        return dict(entry["spec"])
+        return entry["spec"]
     try:
         reference = msgspec.convert(entry["description"], DescriptionReference)
         packed = "".join(_part_text(get(part_key(uid, number)), reference) for number in range(reference.parts))
-        spec = msgspec.json.decode(zlib.decompress(b85decode(packed)))
+        return msgspec.json.decode(zlib.decompress(b85decode(packed)))
     except (KeyError, ValueError, zlib.error, msgspec.MsgspecError) as error:
         raise MissingDescriptionError(f"the description of {uid} can't be read: {error}") from None
-    return dict(spec)
 
 
 def _part_text(value: Any, reference: DescriptionReference) -> str:
@@ -117,30 +116,33 @@
 class AcceptedJob(msgspec.Struct, frozen=True):
     """A job on record."""
 
-    spec: dict[str, Any]
+    spec: JobSpec
     at: float  # time of day of its acceptance
     block: int  # tasks per block
 
 
 class RecordedJobs(msgspec.Struct, frozen=True):
-    """The accepted jobs of a record, by id, and those whose description is missing."""
+    """The accepted jobs of a record, by id, and what of it can't be read."""
 
     jobs: dict[str, AcceptedJob]
-    missing: list[str]
+    unreadable: list[str]
 
 
-def jobs_in_record(key: str, value: dict[str, Any], get: Callable[[str], Any]) -> RecordedJobs:
+def jobs_in_record(key: str, value: Any, get: Callable[[str], Any]) -> RecordedJobs:
     """The accepted jobs in a record; ``get`` returns the value of a key, or None.
 
     A record of an older version holds a single job without the outer map. A job whose description is gone has ended:
     the view that still has its record is about to learn that.
     """
-    entries = value["jobs"] if "jobs" in value else {key.removeprefix(JOB_PREFIX): value}
     found = RecordedJobs({}, [])
+    entries = value.get("jobs", {key.removeprefix(JOB_PREFIX): value}) if isinstance(value, dict) else None
+    if not isinstance(entries, dict):
+        return RecordedJobs({}, [key])
     for uid, entry in entries.items():
         try:
-            found.jobs[uid] = AcceptedJob(recorded_spec(uid, entry, get), entry["at"], entry["block"])
-        except MissingDescriptionError as error:
-            log.warning("job left out: %s", error)
-            found.missing.append(uid)
+            accepted = {"spec": recorded_spec(uid, entry, get), "at": entry["at"], "block": entry["block"]}
+            found.jobs[uid] = msgspec.convert(accepted, AcceptedJob)
+        except (MissingDescriptionError, KeyError, TypeError, ValueError) as error:
+            log.error("job %s is left out, as its record can't be read: %s", uid, error)
+            found.unreadable.append(uid)
     return found
--- a/ladderfield/jobs/test_descriptions.py
+++ b/ladderfield/jobs/test_descriptions.py
@@ -13,6 +13,7 @@
     DESCRIPTION_PREFIX,
     MissingDescriptionError,
     describe,
+    jobs_in_record,
     number_of,
     part_key,
     recorded_spec,
@@ -45,6 +46,8 @@
     entry = {"description": msgspec.to_builtins(description.reference)}
     assert max(len(encode(value)) for value in records.values()) <= MAX_RECORD_BYTES
     assert msgspec.convert(recorded_spec(UID, entry, records.get), JobSpec) == spec
+    recorded = jobs_in_record("lf/j/x", {"jobs": {UID: entry | {"at": 1.0, "block": 2}}}, records.get)
+    assert recorded.jobs[UID].spec == spec
     other = describe(msgspec.structs.replace(spec, team="blue"), MAX_RECORD_BYTES).parts
     for key in records:
         for damaged in (
--- a/ladderfield/leader/records.py
+++ b/ladderfield/leader/records.py
@@ -6,8 +6,6 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-import msgspec
-
 from ladderfield.changes import Change
 from ladderfield.fleet.catalog import CATALOG_KEY, LEGACY_TYPES_KEY, is_catalog_key, recorded_catalog
 from ladderfield.jobs.dependencies import DependencyGraph
@@ -17,7 +15,6 @@
     FINAL_PREFIX,
     JOB_PREFIX,
     PAGE_PREFIX,
-    JobSpec,
 )
 from ladderfield.leader.pages import HOSTS, Page
 from ladderfield.leader.tables import LeaderTables
@@ -118,8 +115,7 @@
         for uid, accepted in self.waiting_jobs.dependencies.jobs_in_record(key, value).jobs.items():
             job = self.jobs.get(uid)
             if job is None:
-                spec = msgspec.convert(accepted.spec, JobSpec)
-                job = self.jobs[uid] = Job(spec, accepted.at - self.wall_offset, accepted.block)
+                job = self.jobs[uid] = Job(accepted.spec, accepted.at - self.wall_offset, accepted.block)
                 self.estimates.job_accepted(job)
                 self.waiting_jobs.add_job(job)
                 self.changed = True
--- a/ladderfield/leader/test_stranded.py
+++ b/ladderfield/leader/test_stranded.py
@@ -7,8 +7,10 @@
 import pytest
 import trio
 
+from ladderfield.changes import Change
 from ladderfield.fleet.plan import Planner
 from ladderfield.leader.scheduler import Scheduler
+from ladderfield.testing import accepted, job
 from ladderfield.testing.cluster import cluster
 from ladderfield.testing.leader import SchedulerHarness, launch_by_push, launch_job, reported_task
 
@@ -238,3 +240,16 @@
         assert harness.machine().cannot_report
         waiting = harness.scheduler.jobs["req-000001"].waiting
         assert sum(rental.count for rental in Planner(harness.scheduler).rentals(10.0)) == waiting - 1 + rented
+
+
+# Guards against: a record with a job that can't be read ended the term of every leader, so that no job ran at all.
+@pytest.mark.parametrize(
+    "entry", [7, {}, {"spec": job(rungs="many"), "at": 1.0, "block": 1}, {"spec": job(), "at": 1.0}]
+)
+def test_a_job_that_can_not_be_read_keeps_no_other_from_running(entry: Any) -> None:
+    record = {"jobs": {"req-000007": entry} | accepted(job("req-000008", owner="blue"))["jobs"]}
+    harness = SchedulerHarness()
+    harness.scheduler.take_changes([Change("lf/j/req-000007", record, 5), Change("lf/j/req-000009", 7, 5)], 0.0)
+    harness.report()
+    assert set(harness.scheduler.jobs) == {"req-000008"} and harness.machine().claims
+    harness.scheduler.load({"lf/j/req-000007": (record, 5)}, 0.0)
