--- a/ladderfield/fleet/test_catalog.py
+++ b/ladderfield/fleet/test_catalog.py
@@ -100,6 +100,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_writer_gives_way_to_another_though_its_transactions_are_not_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        rig = WriterRig(monkeypatch, nursery)
+        rig.service.lose_answers = 1
+        writer, results = await rig.writer(), []
+
+        async def write() -> None:
+            results.append(await writer.record(listed_catalog(many_types(200))))
+
+        nursery.start_soon(write)
+        await trio.sleep(0.5)
+        (lock_key,) = [key for key in rig.service.keys if key.endswith("/0/0")]
+        await trio.sleep(3.5)  # the writer has seen its lock on record
+        rig.service.lose_answers = 1
+        await trio.sleep(2)
+        other = {"generation": "other", "types": []}
+        rig.put({lock_key: other})
+        await trio.sleep(20)
+        assert results == [False] and rig.service.keys[lock_key][0] == other
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_deposed_leader_writes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     async with trio.open_nursery() as nursery:
         rig = WriterRig(monkeypatch, nursery)
@@ -129,14 +153,15 @@
         view = await rig.view()
         reader = CatalogReader(view)
         cloud = Cloud(rig.settings)
-        monkeypatch.setattr(cloud, "types", AsyncMock(side_effect=[CloudError, CloudError, many_types(40)]))
+        monkeypatch.setattr(cloud, "types", AsyncMock(side_effect=[CloudError, many_types(40)]))
         keeper = CatalogKeeper(rig.settings, cloud, view.client, view, reader)
         unfinished = layout_of(listed_catalog(many_types(40)), GENERATION, 0, MAX_RECORD_BYTES)
         key, part = next(iter(unfinished.parts.items()))
         rig.put({key: part})
         nursery.start_soon(keeper.run)
-        await trio.sleep(6)
-        assert not reader.catalog().intact, "another controller may be about to finish"
+        await trio.sleep(7)
+        assert rig.service.keys[key][0] == part, "another controller may be about to finish"
+        assert not reader.catalog().intact
         await trio.sleep(60)
         assert reader.catalog() == listed_catalog(many_types(40))
         nursery.cancel_scope.cancel()
--- a/ladderfield/jobs/test_descriptions.py
+++ b/ladderfield/jobs/test_descriptions.py
@@ -20,7 +20,7 @@
 )
 from ladderfield.jobs.model import JobSpec
 from ladderfield.leader.description_cleaner import ABANDONED_S
-from ladderfield.testing import TYPES, StateService, job
+from ladderfield.testing import TYPES, StateService, accepted, job
 from ladderfield.testing.cluster import cluster
 from ladderfield.testing.jobs_api import serving_jobs_api
 from ladderfield.testing.lower_limits import (
@@ -119,3 +119,38 @@
         await trio.sleep(ABANDONED_S)
         assert parts(whole.state) == used
         assert await whole.phase(0, kept) == "running"
+
+
+# Guards against: a deletion that arrives late takes parts from a job that was accepted, or is being written, meanwhile.
+@pytest.mark.parametrize("accepted_first", [True, False])
+async def test_a_late_deletion_of_parts_takes_nothing_from_a_later_submission(
+    monkeypatch: pytest.MonkeyPatch, accepted_first: bool
+) -> None:
+    async with cluster(monkeypatch) as whole:
+        body = job(UID, rungs=1, shape="daemon", flavours=[*incompressible_names(2700), "m4"])
+        described = describe(msgspec.convert(body, JobSpec), MAX_RECORD_BYTES).parts
+        whole.state._apply({"guards": [], "apply": [{"put": key, "value": described[key]} for key in described]})
+        late = part_key(UID, 0 if accepted_first else 4)
+        whole.state.withholds = lambda keys: late in keys
+        await trio.sleep(ABANDONED_S + 30)
+        assert whole.state.withheld
+        whole.state.withholds = lambda keys: False
+        for key in () if accepted_first else list(described)[:4]:
+            whole.state._apply({"guards": [], "apply": [{"put": key, "value": described[key]}]})
+        before = parts(whole.state)
+        if accepted_first:
+            whole.state._apply({"guards": [], "apply": [{"put": f"lf/j/{UID}", "value": accepted(body)}]})
+        assert set(whole.state.apply_withheld()) == {409} and parts(whole.state) == before
+
+
+async def test_a_job_with_a_large_description_has_a_record_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with cluster(monkeypatch) as whole:
+        whole.state.delay_s = 0.2
+        large = job(UID, flavours=[*incompressible_names(1500), "m4"])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(whole.submit_until_accepted, 0, large)
+            for number in range(2, 12):
+                nursery.start_soon(whole.submit_until_accepted, 0, job(f"req-{number:06}"))
+                await trio.sleep(0.1)
+        records = {key: list(value[0]["jobs"]) for key, value in whole.state.keys.items() if key.startswith("lf/j/")}
+        assert records[f"lf/j/{UID}"] == [UID] and sum(UID in uids for uids in records.values()) == 1
--- a/ladderfield/test_view_load.py
+++ b/ladderfield/test_view_load.py
@@ -214,6 +214,9 @@
 
     monkeypatch.setattr(client, "_call", call)
     view = View(client, settings())
+    await view._load()
+    assert not view.complete, "a key that it lacks may exist"
+    view = View(client, settings())
     view.listeners.append(DependencyGraph(view.get).apply_change)
     await view._load()
     assert view.synced and set(view.data) == {"lf/f/req-000001", "lf/x/2"}
